--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/ConcurrencyLimit.java
@@ -0,0 +1,28 @@
+package org.fuchsiawharf.core.limits;
+
+/**
+ * Bounds the calls that one instance has open at one endpoint.
+ *
+ * <p>Confined to the decision loop.
+ */
+public interface ConcurrencyLimit {
+    /**
+     * Tells whether one more call may be opened.
+     *
+     * @param inFlight this instance's open calls
+     * @param occupancy the expected calls at the endpoint from all instances
+     * @param slots the calls that the endpoint runs at once
+     * @return true if there is room
+     */
+    boolean hasRoom(int inFlight, int occupancy, int slots);
+
+    /**
+     * Learns from a call that ended well.
+     *
+     * @param inFlight the open calls, that one included
+     */
+    void onSuccess(int inFlight);
+
+    /** Learns from a call that was refused or timed out. */
+    void onPushback();
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/NoConcurrencyLimit.java
@@ -0,0 +1,19 @@
+package org.fuchsiawharf.core.limits;
+
+/**
+ * Allows any number of calls: the baseline.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class NoConcurrencyLimit implements ConcurrencyLimit {
+    @Override
+    public boolean hasRoom(int inFlight, int occupancy, int slots) {
+        return true;
+    }
+
+    @Override
+    public void onSuccess(int inFlight) {}
+
+    @Override
+    public void onPushback() {}
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/WorkspaceCounts.java
@@ -0,0 +1,49 @@
+package org.fuchsiawharf.core.limits;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.fuchsiawharf.core.model.Workspace;
+
+/**
+ * Counts the running requests of each workspace.
+ *
+ * <p>A workspace without running requests takes no memory. Confined to the decision loop.
+ */
+public final class WorkspaceCounts {
+    private final Map<String, Integer> running = new HashMap<>();
+
+    /**
+     * Counts one more request unless the workspace is at its limit.
+     *
+     * @param workspace the workspace, not null
+     * @return false if the limit is reached
+     */
+    public boolean tryAcquire(Workspace workspace) {
+        int count = running.getOrDefault(workspace.name(), 0);
+        if (count >= workspace.maxConcurrent()) {
+            return false;
+        }
+        running.put(workspace.name(), count + 1);
+        return true;
+    }
+
+    /**
+     * Counts one request less.
+     *
+     * @param workspace the workspace, not null
+     */
+    public void release(Workspace workspace) {
+        running.computeIfPresent(workspace.name(), (name, count) -> count > 1 ? count - 1 : null);
+    }
+
+    /**
+     * Gets the number of running requests of a workspace.
+     *
+     * @param workspace the workspace, not null
+     * @return the count
+     */
+    public int getRunning(Workspace workspace) {
+        return running.getOrDefault(workspace.name(), 0);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/loop/DecisionLoop.java
@@ -0,0 +1,100 @@
+package org.fuchsiawharf.core.loop;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.TimeUnit;
+
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.TimeoutException;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import org.fuchsiawharf.core.port.Event;
+import org.fuchsiawharf.core.port.EventSink;
+import org.fuchsiawharf.core.time.Clock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs an instance's decisions on one thread.
+ *
+ * <p>Events enter by {@link #publish} from any thread and are handled in order. A second thread sleeps until the
+ * next timer is due and publishes an event then. Thread-safe.
+ */
+public final class DecisionLoop implements EventSink, AutoCloseable {
+    private static final Logger LOG = System.getLogger(DecisionLoop.class.getName());
+    private static final int RING_SIZE = 16_384;
+    private static final long STOP_TIMEOUT_MILLIS = 2_000;
+
+    private final Disruptor<Slot> disruptor;
+    private final EventProcessor processor;
+    private final Clock clock;
+    private final TimerThread timerThread;
+
+    /**
+     * Creates a loop; {@link #start} runs it.
+     *
+     * @param name the name of its threads, not null
+     * @param processor the decisions, not null
+     * @param clock the clock, not null
+     */
+    public DecisionLoop(String name, EventProcessor processor, Clock clock) {
+        this.processor = processor;
+        this.clock = clock;
+        this.disruptor = new Disruptor<>(
+                Slot::new,
+                RING_SIZE,
+                task -> daemon(task, "decisions-" + name),
+                ProducerType.MULTI,
+                new BlockingWaitStrategy());
+        EventHandler<Slot> handler = (slot, sequence, endOfBatch) -> handle(slot, endOfBatch);
+        disruptor.handleEventsWith(handler);
+        this.timerThread = new TimerThread(name, clock, this);
+    }
+
+    /** Starts both threads. */
+    public void start() {
+        disruptor.start();
+        timerThread.start();
+    }
+
+    @Override
+    public void publish(Event event) {
+        disruptor.publishEvent((slot, sequence, value) -> slot.event = value, event);
+    }
+
+    @Override
+    public void close() {
+        timerThread.stop();
+        try {
+            disruptor.shutdown(STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            disruptor.halt();
+        }
+    }
+
+    private void handle(Slot slot, boolean endOfBatch) {
+        Event event = slot.event;
+        slot.event = null;
+        if (event == null) {
+            return;
+        }
+        try {
+            processor.process(event, clock.nanos());
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "decision failed on " + event.getClass().getSimpleName(), e);
+        }
+        if (endOfBatch) {
+            timerThread.wakeAt(processor.getNextDue());
+        }
+    }
+
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private static final class Slot {
+        private @Nullable Event event;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/loop/package-info.java
@@ -0,0 +1,5 @@
+/** The single-threaded decision loop on a Disruptor ring. */
+@NullMarked
+package org.fuchsiawharf.core.loop;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/model/package-info.java
@@ -0,0 +1,5 @@
+/** Immutable values: pipelines, workspaces, endpoints, payloads and outcomes. */
+@NullMarked
+package org.fuchsiawharf.core.model;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/request/StageRunner.java
@@ -0,0 +1,507 @@
+package org.fuchsiawharf.core.request;
+
+import java.util.List;
+
+import org.fuchsiawharf.core.error.ErrorCode;
+import org.fuchsiawharf.core.model.Payload;
+import org.fuchsiawharf.core.model.StageSpec;
+import org.fuchsiawharf.core.port.AttemptId;
+import org.fuchsiawharf.core.port.CallFailure;
+import org.fuchsiawharf.core.port.CallerPort;
+import org.fuchsiawharf.core.port.EndpointPort;
+import org.fuchsiawharf.core.port.Event;
+import org.fuchsiawharf.core.port.RequestLog.AttemptEntry;
+import org.fuchsiawharf.core.port.StageCall;
+import org.fuchsiawharf.core.retry.HedgePolicy;
+import org.fuchsiawharf.core.retry.RetryPolicy;
+import org.fuchsiawharf.core.retry.TimeoutPolicy;
+import org.fuchsiawharf.core.routing.EndpointState;
+import org.fuchsiawharf.core.routing.EndpointTable;
+import org.fuchsiawharf.core.routing.LatencyEstimate;
+import org.fuchsiawharf.core.routing.ServicePool;
+import org.fuchsiawharf.core.time.TimerService;
+
+/**
+ * Runs the stages of requests: dispatch, queues, answers, failures, retries, hedges and stream continuation.
+ *
+ * <p>Invariants: a stage's call is repeated only if the stage is repeatable or the earlier call is proved not to
+ * have run; an answer counts only for the exact open attempt that it names; every open attempt is counted once in
+ * its endpoint's state. Confined to the decision loop.
+ */
+final class StageRunner {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long NANOS_PER_MICRO = 1_000;
+    private static final double CONTINUE_DEVIATIONS = 0;
+
+    private final String instance;
+    private final ActiveRequests requests;
+    private final EndpointTable table;
+    private final PolicySet policies;
+    private final EndpointPort port;
+    private final TimerService timers;
+    private final StageEstimates estimates;
+    private final StageQueues queues;
+    private final Counters counters;
+    private final RequestEnd end;
+
+    /** Ends requests for the runner. */
+    interface RequestEnd {
+        /**
+         * Ends a request with the last stage's answer.
+         *
+         * @param active the request, not null
+         * @param answer the answer, not null
+         */
+        void answer(ActiveRequest active, Payload answer);
+
+        /**
+         * Ends a request without an answer.
+         *
+         * @param active the request, not null
+         * @param code why, not null
+         * @param detail what happened, not null
+         */
+        void refuse(ActiveRequest active, ErrorCode code, String detail);
+    }
+
+    StageRunner(DecisionState state, PolicySet policies, EndpointPort port, RequestEnd end) {
+        this.instance = state.instance();
+        this.requests = state.requests();
+        this.table = state.table();
+        this.policies = policies;
+        this.port = port;
+        this.timers = state.timers();
+        this.estimates = state.estimates();
+        this.queues = state.queues();
+        this.counters = state.counters();
+        this.end = end;
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Starts or restarts the present stage of a request.
+     *
+     * @param active the request, not null
+     */
+    void start(ActiveRequest active) {
+        if (active.done) {
+            return;
+        }
+        StageSpec stage = active.stageSpec();
+        ServicePool pool = table.getPool(stage.service());
+        if (!isWorthContinuing(active)) {
+            end.refuse(active, ErrorCode.DEADLINE_UNREACHABLE, "too little time is left for stage " + stage.name());
+        } else if (!pool.isServing()) {
+            end.refuse(active, ErrorCode.NO_ENDPOINT, "service " + stage.service() + " has no endpoint that serves");
+        } else {
+            boolean queueIsEmpty = queues.get(stage.service()).queue().size() == 0;
+            if (!queueIsEmpty || !tryDispatch(active)) {
+                enqueue(active);
+            }
+        }
+    }
+
+    /**
+     * Sends queued requests of a service for as long as its endpoints have room.
+     *
+     * @param service the service's name, not null
+     */
+    void pump(String service) {
+        StageQueues.Waiting waiting = queues.get(service);
+        while (waiting.queue().size() > 0) {
+            ActiveRequest next = waiting.queue().poll();
+            if (next == null) {
+                return;
+            }
+            next.queued = false;
+            if (!isWorthContinuing(next)) {
+                end.refuse(next, ErrorCode.OVERLOADED, "waited too long for service " + service);
+            } else if (tryDispatch(next)) {
+                waiting.rate().onDeparture(timers.now(), waiting.queue().size() > 0);
+            } else {
+                requeue(next, waiting);
+                return;
+            }
+        }
+    }
+
+    /** Lets ejected endpoints be probed and queues move on; called at a fixed interval. */
+    void tick() {
+        for (String service : List.copyOf(queues.getAll().keySet())) {
+            policies.health().allowProbes(table.getPool(service), timers.now());
+            pump(service);
+        }
+    }
+
+    private boolean isWorthContinuing(ActiveRequest active) {
+        long now = timers.now();
+        double work = estimates.getWork(active.pipeline(), active.stage, CONTINUE_DEVIATIONS, now);
+        if (active.tokens > 0) {
+            // A stream that goes on elsewhere needs only the rest of its time.
+            work = 0;
+        }
+        return policies.admission().isWorthContinuing(active.remainingNanos(now), work);
+    }
+
+    private void enqueue(ActiveRequest active) {
+        StageQueues.Waiting waiting = queues.get(active.stageSpec().service());
+        counters.add(Counters.Name.QUEUED);
+        requeue(active, waiting);
+    }
+
+    private void requeue(ActiveRequest active, StageQueues.Waiting waiting) {
+        active.queued = waiting.queue()
+                .offer(active, active.request.workspace(), active.request.priority(), active.request.deadlineNanos());
+        if (!active.queued) {
+            String service = active.stageSpec().service();
+            end.refuse(active, ErrorCode.OVERLOADED, "the queue of service " + service + " is full");
+        }
+    }
+
+    // -----------------------------------------------------------------------
+
+    private boolean tryDispatch(ActiveRequest active) {
+        StageSpec stage = active.stageSpec();
+        ServicePool pool = table.getPool(stage.service());
+        EndpointState state = policies.selector().select(pool, active.request.prefixKey(), active.avoid, timers.now());
+        if (state == null) {
+            return false;
+        }
+        if (active.stageRetries == 0) {
+            policies.retry().onFirstCall(stage.service());
+        }
+        dispatch(active, state);
+        armHedge(active);
+        return true;
+    }
+
+    private void dispatch(ActiveRequest active, EndpointState state) {
+        active.attempts++;
+        AttemptId id = new AttemptId(instance, active.number, active.stage, active.attempts);
+        Attempt attempt = new Attempt(id, state, active.stageSpec(), timers.now());
+        active.open.add(attempt);
+        state.onSent();
+        counters.add(Counters.Name.CALLS);
+        armTimeout(active, attempt);
+        port.call(toCall(active, attempt, false));
+    }
+
+    private StageCall toCall(ActiveRequest active, Attempt attempt, boolean reconnect) {
+        return new StageCall(
+                attempt.id,
+                attempt.state.getEndpoint(),
+                attempt.stage,
+                active.request.workspace().name(),
+                active.request.priority(),
+                Math.max(1, active.remainingNanos(timers.now()) / NANOS_PER_MILLI),
+                active.request.prefixKey(),
+                active.request.body(),
+                active.previous,
+                active.text.toString(),
+                active.tokens,
+                reconnect);
+    }
+
+    private void armHedge(ActiveRequest active) {
+        StageSpec stage = active.stageSpec();
+        if (!stage.repeatable() || stage.streaming()) {
+            return;
+        }
+        long delay = policies.hedge().getDelay(stage.service(), estimates.get(active.pipeline(), active.stage));
+        if (delay != HedgePolicy.NO_HEDGE) {
+            active.cancelStageTimer();
+            active.stageTimer = timers.schedule(timers.now() + delay, () -> hedge(active));
+        }
+    }
+
+    private void hedge(ActiveRequest active) {
+        if (active.done || active.open.size() != 1) {
+            return;
+        }
+        StageSpec stage = active.stageSpec();
+        EndpointState first = active.open.get(0).state;
+        EndpointState state = policies.selector()
+                .select(table.getPool(stage.service()), active.request.prefixKey(), first, timers.now());
+        if (state != null && state != first && policies.hedge().trySpend(stage.service())) {
+            counters.add(Counters.Name.HEDGES);
+            dispatch(active, state);
+        }
+    }
+
+    // -----------------------------------------------------------------------
+
+    private void armTimeout(ActiveRequest active, Attempt attempt) {
+        if (!attempt.stage.repeatable()) {
+            return;
+        }
+        TimeoutPolicy policy = policies.timeout();
+        long timeout = policy.getAnswerTimeout(answerEstimate(active), active.remainingNanos(timers.now()));
+        if (timeout != TimeoutPolicy.NO_TIMEOUT) {
+            attempt.timer = timers.schedule(timers.now() + timeout, () -> checkProgress(active, attempt));
+        }
+    }
+
+    private LatencyEstimate answerEstimate(ActiveRequest active) {
+        return estimates.get(active.pipeline(), active.stage);
+    }
+
+    private void checkProgress(ActiveRequest active, Attempt attempt) {
+        if (active.done || !active.open.contains(attempt)) {
+            return;
+        }
+        long silent = timers.now() - attempt.progressNanos;
+        long allowed = attempt.tokenSeen
+                ? policies.timeout().getTokenTimeout(attempt.state.getTokenGap())
+                : timers.now() - attempt.sentNanos;
+        if (silent >= allowed) {
+            port.cancel(attempt.id, attempt.state.getEndpoint());
+            counters.add(Counters.Name.CANCELS);
+            fail(active, attempt, CallFailure.TIMEOUT, "no answer within " + silent / NANOS_PER_MILLI + " ms");
+        } else {
+            long due = attempt.progressNanos + allowed;
+            attempt.timer = timers.schedule(due, () -> checkProgress(active, attempt));
+        }
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Takes in a token for an open attempt.
+     *
+     * @param active the request, not null
+     * @param attempt the attempt, not null
+     * @param event the token, not null
+     */
+    void onToken(ActiveRequest active, Attempt attempt, Event.TokenReceived event) {
+        if (event.offset() < active.tokens) {
+            counters.add(Counters.Name.REPEATED_TOKENS_DROPPED);
+            return;
+        }
+        if (event.offset() > active.tokens) {
+            counters.add(Counters.Name.STREAM_GAPS);
+            port.cancel(attempt.id, attempt.state.getEndpoint());
+            fail(active, attempt, CallFailure.LOST, "token " + active.tokens + " is missing");
+            return;
+        }
+        active.noteEffect(attempt.stage);
+        active.text.append(event.text());
+        active.tokens++;
+        if (active.isLastStage()) {
+            for (CallerPort caller : active.callers) {
+                caller.token(event.offset(), event.text());
+            }
+        }
+        noteProgress(attempt);
+    }
+
+    private void noteProgress(Attempt attempt) {
+        long now = timers.now();
+        boolean ejected = false;
+        if (attempt.tokenSeen) {
+            ServicePool pool = table.getPool(attempt.stage.service());
+            ejected = policies.health().onToken(pool, attempt.state, now - attempt.progressNanos, now);
+        }
+        attempt.tokenSeen = true;
+        attempt.progressNanos = now;
+        if (ejected) {
+            moveAway(attempt.state);
+        }
+    }
+
+    /**
+     * Takes in the whole answer of an open attempt.
+     *
+     * @param active the request, not null
+     * @param attempt the attempt, not null
+     * @param event the answer, not null
+     */
+    void onCompleted(ActiveRequest active, Attempt attempt, Event.CallCompleted event) {
+        if (attempt.stage.streaming() && event.tokens() != active.tokens) {
+            counters.add(Counters.Name.STREAM_GAPS);
+            fail(active, attempt, CallFailure.LOST, "the stream ended before token " + event.tokens());
+            return;
+        }
+        active.noteEffect(attempt.stage);
+        long nanos = timers.now() - attempt.sentNanos;
+        boolean partial = active.stageRetries > 0;
+        if (!partial) {
+            attempt.state.onCompleted(nanos);
+            estimates.add(active.pipeline(), active.stage, nanos, timers.now());
+        }
+        attempt.state.getLimit().onSuccess(attempt.state.getInFlight());
+        release(active, attempt, "ok");
+        boolean ejected = policies.health()
+                .onSuccess(
+                        table.getPool(attempt.stage.service()), attempt.state, attempt.stage.streaming(), timers.now());
+        cancelOpen(active);
+        Payload answer = attempt.stage.streaming() ? StreamAnswer.of(active.text, active.tokens) : event.answer();
+        advance(active, answer);
+        if (ejected) {
+            moveAway(attempt.state);
+        }
+        pump(attempt.stage.service());
+    }
+
+    private void advance(ActiveRequest active, Payload answer) {
+        if (active.isLastStage()) {
+            end.answer(active, answer);
+        } else {
+            active.advance(answer);
+            start(active);
+        }
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Takes in the failure of an open attempt.
+     *
+     * @param active the request, not null
+     * @param attempt the attempt, not null
+     * @param failure why it failed, not null
+     * @param detail what was seen, not null
+     */
+    void fail(ActiveRequest active, Attempt attempt, CallFailure failure, String detail) {
+        String service = attempt.stage.service();
+        release(active, attempt, failure.name().toLowerCase(java.util.Locale.ROOT));
+        boolean ejected = learn(attempt, failure);
+        if (failure.isEffectPossible()) {
+            active.effectPossible = true;
+        }
+        if (active.open.isEmpty()) {
+            recover(active, attempt, failure, detail);
+        }
+        if (ejected) {
+            moveAway(attempt.state);
+        }
+        pump(service);
+    }
+
+    private boolean learn(Attempt attempt, CallFailure failure) {
+        if (failure == CallFailure.LEAVING) {
+            attempt.state.onLeaving();
+        }
+        if (failure == CallFailure.REFUSED || failure == CallFailure.TIMEOUT) {
+            attempt.state.getLimit().onPushback();
+        }
+        ServicePool pool = table.getPool(attempt.stage.service());
+        return policies.health().onFailure(pool, attempt.state, failure, timers.now());
+    }
+
+    private void recover(ActiveRequest active, Attempt attempt, CallFailure failure, String detail) {
+        boolean broken = failure == CallFailure.LOST || failure == CallFailure.GARBAGE;
+        if (attempt.stage.streaming() && broken && !attempt.reconnected) {
+            reconnect(active, attempt);
+            return;
+        }
+        boolean mayHaveRun = failure.isEffectPossible() || attempt.reconnected;
+        if (mayHaveRun) {
+            active.noteEffect(attempt.stage);
+        }
+        if (mayHaveRun && !attempt.stage.repeatable()) {
+            end.refuse(active, ErrorCode.STAGE_FAILED, describe(attempt, failure, detail));
+            return;
+        }
+        retry(active, attempt, failure, detail);
+    }
+
+    private void retry(ActiveRequest active, Attempt attempt, CallFailure failure, String detail) {
+        long remaining = active.remainingNanos(timers.now());
+        long delay = policies.retry().getDelay(attempt.stage.service(), active.stageRetries, failure, remaining);
+        if (delay == RetryPolicy.NO_RETRY) {
+            ErrorCode code = failure == CallFailure.REFUSED ? ErrorCode.OVERLOADED : ErrorCode.STAGE_FAILED;
+            end.refuse(active, code, describe(attempt, failure, detail));
+            return;
+        }
+        counters.add(Counters.Name.RETRIES);
+        active.stageRetries++;
+        active.avoid = attempt.state;
+        active.cancelStageTimer();
+        if (delay == 0) {
+            start(active);
+        } else {
+            active.stageTimer = timers.schedule(timers.now() + delay, () -> start(active));
+        }
+    }
+
+    // Rejoins the same run, so that nothing runs twice; the endpoint sends what is missing.
+    private void reconnect(ActiveRequest active, Attempt broken) {
+        counters.add(Counters.Name.RECONNECTS);
+        Attempt attempt = new Attempt(broken.id, broken.state, broken.stage, timers.now());
+        attempt.reconnected = true;
+        active.open.add(attempt);
+        attempt.state.onSent();
+        armTimeout(active, attempt);
+        port.call(toCall(active, attempt, true));
+    }
+
+    private static String describe(Attempt attempt, CallFailure failure, String detail) {
+        return "stage " + attempt.stage.name() + " at endpoint "
+                + attempt.state.getEndpoint().name() + ": "
+                + failure.name().toLowerCase(java.util.Locale.ROOT) + ", " + detail;
+    }
+
+    // -----------------------------------------------------------------------
+
+    // Moves repeatable calls away from an endpoint that was just ejected.
+    private void moveAway(EndpointState ejected) {
+        counters.add(Counters.Name.EJECTIONS);
+        for (ActiveRequest active : requests.toList()) {
+            for (Attempt attempt : List.copyOf(active.open)) {
+                if (attempt.state == ejected && attempt.stage.repeatable()) {
+                    migrate(active, attempt);
+                }
+            }
+        }
+    }
+
+    private void migrate(ActiveRequest active, Attempt attempt) {
+        active.noteEffect(attempt.stage);
+        port.cancel(attempt.id, attempt.state.getEndpoint());
+        release(active, attempt, "migrated");
+        counters.add(Counters.Name.MIGRATIONS);
+        if (active.open.isEmpty()) {
+            active.stageRetries++;
+            active.avoid = attempt.state;
+            start(active);
+        }
+    }
+
+    // A call that lost to its hedge took at least this long, which its endpoint's estimate must show.
+    private boolean noteLate(Attempt attempt) {
+        long nanos = timers.now() - attempt.sentNanos;
+        if (nanos <= attempt.state.getService().getMean()) {
+            return false;
+        }
+        attempt.state.onCompleted(nanos);
+        ServicePool pool = table.getPool(attempt.stage.service());
+        return policies.health().onSuccess(pool, attempt.state, attempt.stage.streaming(), timers.now());
+    }
+
+    /**
+     * Cancels every open attempt of a request.
+     *
+     * @param active the request, not null
+     */
+    void cancelOpen(ActiveRequest active) {
+        for (Attempt attempt : List.copyOf(active.open)) {
+            active.noteEffect(attempt.stage);
+            port.cancel(attempt.id, attempt.state.getEndpoint());
+            counters.add(Counters.Name.CANCELS);
+            release(active, attempt, "cancelled");
+            if (noteLate(attempt)) {
+                moveAway(attempt.state);
+            }
+        }
+    }
+
+    private void release(ActiveRequest active, Attempt attempt, String result) {
+        attempt.cancelTimer();
+        active.open.remove(attempt);
+        attempt.state.onEnded();
+        long micros = (timers.now() - attempt.sentNanos) / NANOS_PER_MICRO;
+        active.history.add(new AttemptEntry(
+                attempt.stage.name(), attempt.state.getEndpoint().name(), attempt.id.attempt(), result, micros));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/retry/BudgetedHedge.java
@@ -0,0 +1,48 @@
+package org.fuchsiawharf.core.retry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.fuchsiawharf.core.routing.LatencyEstimate;
+
+/**
+ * Hedges calls that take far longer than usual, within a small budget for each service.
+ *
+ * <p>Confined to the decision loop.
+ */
+public final class BudgetedHedge implements HedgePolicy {
+    private static final int MIN_SAMPLES = 20;
+    private static final double DEVIATIONS = 6;
+    private static final long FLOOR_NANOS = 10_000_000;
+    private static final double MAX_BALANCE = 5;
+
+    private final double share;
+    private final Map<String, Budget> budgets = new HashMap<>();
+
+    /**
+     * Creates a policy with full budgets.
+     *
+     * @param share the hedges allowed for each first call
+     */
+    public BudgetedHedge(double share) {
+        this.share = share;
+    }
+
+    @Override
+    public long getDelay(String service, LatencyEstimate estimate) {
+        budgetOf(service).earn();
+        if (estimate.getCount() < MIN_SAMPLES) {
+            return NO_HEDGE;
+        }
+        return Math.max(FLOOR_NANOS, (long) estimate.getBound(DEVIATIONS));
+    }
+
+    @Override
+    public boolean trySpend(String service) {
+        return budgetOf(service).trySpend();
+    }
+
+    private Budget budgetOf(String service) {
+        return budgets.computeIfAbsent(service, s -> new Budget(share, MAX_BALANCE));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/retry/package-info.java
@@ -0,0 +1,5 @@
+/** Retry and hedging decisions and their budgets. */
+@NullMarked
+package org.fuchsiawharf.core.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/RoundRobinSelector.java
@@ -0,0 +1,30 @@
+package org.fuchsiawharf.core.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses endpoints in turn: the baseline.
+ *
+ * <p>Confined to the decision loop.
+ */
+public final class RoundRobinSelector implements EndpointSelector {
+    private final Map<String, Integer> next = new HashMap<>();
+
+    @Override
+    public @Nullable EndpointState select(
+            ServicePool pool, long prefixKey, @Nullable EndpointState avoid, long nowNanos) {
+        List<EndpointState> members = pool.getMembers();
+        int start = next.merge(pool.getService(), 1, Integer::sum);
+        for (int i = 0; i < members.size(); i++) {
+            EndpointState state = members.get(Math.floorMod(start + i, members.size()));
+            if (state.isAvailable() && (state != avoid || members.size() == 1)) {
+                return state;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/time/package-info.java
@@ -0,0 +1,5 @@
+/** The timer service and its clock. */
+@NullMarked
+package org.fuchsiawharf.core.time;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/util/package-info.java
@@ -0,0 +1,5 @@
+/** Argument checks. */
+@NullMarked
+package org.fuchsiawharf.core.util;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/test/java/org/fuchsiawharf/core/request/DecisionHarness.java
@@ -0,0 +1,161 @@
+package org.fuchsiawharf.core.request;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.core.model.EndpointStatus;
+import org.fuchsiawharf.core.model.Objective;
+import org.fuchsiawharf.core.model.Payload;
+import org.fuchsiawharf.core.model.Pipeline;
+import org.fuchsiawharf.core.model.Priority;
+import org.fuchsiawharf.core.model.StageSpec;
+import org.fuchsiawharf.core.model.Workspace;
+import org.fuchsiawharf.core.port.AttemptId;
+import org.fuchsiawharf.core.port.CallFailure;
+import org.fuchsiawharf.core.port.CallerPort;
+import org.fuchsiawharf.core.port.CallerRequest;
+import org.fuchsiawharf.core.port.EndpointPort;
+import org.fuchsiawharf.core.port.Event;
+import org.fuchsiawharf.core.port.RequestLog;
+import org.fuchsiawharf.core.port.RequestResult;
+import org.fuchsiawharf.core.port.StageCall;
+
+/** Runs an instance's decisions on virtual time over recording fakes. */
+final class DecisionHarness implements EndpointPort {
+    static final long MILLI = 1_000_000;
+    static final Workspace WORKSPACE = new Workspace("learners", 1, 100, Priority.NORMAL);
+
+    final List<StageCall> calls = new ArrayList<>();
+    final List<AttemptId> cancelled = new ArrayList<>();
+    final List<RequestLog.Entry> log = new ArrayList<>();
+    final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
+    final InstanceDecisions decisions;
+    boolean drained;
+    long now;
+
+    DecisionHarness(PolicySet policies) {
+        decisions = new InstanceDecisions("i1", "a", policies, this, log::add, () -> drained = true, 0);
+    }
+
+    static DecisionHarness tuned() {
+        return new DecisionHarness(PolicySet.of(Objective.ATTAINMENT, new SplittableRandom(1)));
+    }
+
+    static Pipeline pipeline(boolean lastRepeatable) {
+        return new Pipeline(
+                lastRepeatable ? "feedback" : "assessment",
+                List.of(
+                        new StageSpec("encode", "encoder", true, false),
+                        new StageSpec("generate", "llm", lastRepeatable, true)));
+    }
+
+    static Pipeline single(boolean repeatable) {
+        return new Pipeline("charge", List.of(new StageSpec("charge", "billing", repeatable, false)));
+    }
+
+    /** Collects what one caller is told. */
+    static final class Caller implements CallerPort {
+        final List<RequestResult> results = new ArrayList<>();
+        final StringBuilder text = new StringBuilder();
+
+        @Override
+        public void token(long offset, String token) {
+            text.append(token);
+        }
+
+        @Override
+        public void finish(RequestResult result) {
+            results.add(result);
+        }
+
+        RequestResult only() {
+            if (results.size() != 1) {
+                throw new AssertionError("results " + results);
+            }
+            return results.get(0);
+        }
+    }
+
+    DecisionHarness withEndpoints(String... names) {
+        for (String name : names) {
+            String service = name.substring(0, name.lastIndexOf('-'));
+            endpoints.put(name, new Endpoint(name, service, "a", "127.0.0.1", 1000 + endpoints.size()));
+        }
+        list();
+        return this;
+    }
+
+    void list(String... leaving) {
+        List<String> gone = List.of(leaving);
+        send(new Event.EndpointsListed(endpoints.values().stream()
+                .map(endpoint -> new EndpointStatus(endpoint, gone.contains(endpoint.name())))
+                .toList()));
+    }
+
+    Caller request(Pipeline pipeline, long deadlineMillis, String key) {
+        Caller caller = new Caller();
+        request(pipeline, deadlineMillis, key, "{}", caller);
+        return caller;
+    }
+
+    void request(Pipeline pipeline, long deadlineMillis, String key, String body, CallerPort caller) {
+        CallerRequest request = new CallerRequest(
+                pipeline, WORKSPACE, Priority.NORMAL, key, 0, now + deadlineMillis * MILLI, Payload.parse(body));
+        send(new Event.RequestArrived(request, caller));
+    }
+
+    void send(Event event) {
+        decisions.process(event, now);
+    }
+
+    void advance(long millis) {
+        long end = now + millis * MILLI;
+        while (decisions.getNextDue() <= end) {
+            now = Math.max(now, decisions.getNextDue());
+            send(new Event.TimerDue());
+        }
+        now = end;
+        send(new Event.TimerDue());
+    }
+
+    StageCall last() {
+        return calls.get(calls.size() - 1);
+    }
+
+    void answer(StageCall call) {
+        send(new Event.CallCompleted(
+                call.id(), Payload.parse("{\"stage\":\"" + call.stage().name() + "\"}"), 0));
+    }
+
+    void fail(StageCall call, CallFailure failure) {
+        send(new Event.CallFailed(call.id(), failure, "test"));
+    }
+
+    void tokens(StageCall call, int from, int to) {
+        for (int i = from; i < to; i++) {
+            send(new Event.TokenReceived(call.id(), i, "t" + i + " "));
+        }
+    }
+
+    void end(StageCall call, int tokens) {
+        send(new Event.CallCompleted(call.id(), Payload.NULL, tokens));
+    }
+
+    long count(Counters.Name name) {
+        return decisions.getCounters().get(name);
+    }
+
+    @Override
+    public void call(StageCall call) {
+        calls.add(call);
+    }
+
+    @Override
+    public void cancel(AttemptId id, Endpoint endpoint) {
+        cancelled.add(id);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
@@ -0,0 +1,113 @@
+package org.fuchsiawharf.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.fuchsiawharf.core.error.ArgumentException;
+import org.fuchsiawharf.core.error.ErrorCode;
+import org.fuchsiawharf.core.error.WharfException;
+import org.fuchsiawharf.daemon.cli.Command;
+import org.fuchsiawharf.daemon.cli.DemoCommand;
+
+/**
+ * Runs the command line.
+ *
+ * <p>Stateless.
+ */
+public final class Main {
+    private static final List<Command> COMMANDS = List.of(new DemoCommand());
+    private static final String HELP = "help";
+
+    private Main() {}
+
+    /**
+     * Runs one command and exits with its code.
+     *
+     * @param args the command's name and its options, not null
+     */
+    public static void main(String[] args) {
+        int code = run(args, System.out, System.err);
+        System.out.flush();
+        System.exit(code);
+    }
+
+    /**
+     * Runs one command.
+     *
+     * @param args the command's name and its options, not null
+     * @param out where results go, not null
+     * @param err where errors go, not null
+     * @return the exit code
+     */
+    public static int run(String[] args, PrintStream out, PrintStream err) {
+        if (args.length == 0 || args[0].equals("--help") || args[0].equals(HELP)) {
+            printUsage(out);
+            return args.length == 0 ? Command.USAGE : Command.OK;
+        }
+        for (Command command : COMMANDS) {
+            if (command.getName().equals(args[0])) {
+                return run(command, Arrays.copyOfRange(args, 1, args.length), out, err);
+            }
+        }
+        err.println("command \"" + args[0] + "\" does not exist; see --help");
+        return Command.USAGE;
+    }
+
+    private static int run(Command command, String[] args, PrintStream out, PrintStream err) {
+        configureLogs(args);
+        OptionParser parser = new OptionParser();
+        parser.accepts(HELP, "shows this page");
+        parser.accepts("verbose", "logs each request");
+        command.declare(parser);
+        try {
+            OptionSet options = parser.parse(args);
+            if (options.has(HELP)) {
+                out.println("fuchsiawharf " + command.getName() + ": " + command.getSummary());
+                parser.printHelpOn(out);
+                return Command.OK;
+            }
+            return command.run(options, out);
+        } catch (OptionException | ArgumentException e) {
+            err.println(e.getMessage());
+            return Command.USAGE;
+        } catch (WharfException e) {
+            err.println(e.getMessage());
+            return e.getCode() == ErrorCode.SETTINGS_INVALID ? Command.SETTINGS : Command.FAILED;
+        } catch (IOException | UncheckedIOException e) {
+            err.println(String.valueOf(e.getMessage()));
+            return Command.UNREACHABLE;
+        }
+    }
+
+    private static void printUsage(PrintStream out) {
+        out.println("usage: fuchsiawharf COMMAND [OPTION ...]");
+        for (Command command : COMMANDS) {
+            out.printf("  %-15s %s%n", command.getName(), command.getSummary());
+        }
+        out.println("  COMMAND --help  shows a command's options");
+        out.println("exit codes: 0 done, 1 failed or a promise broken, 2 usage, 3 settings, 4 unreachable");
+    }
+
+    // Log lines go to standard error, so that results on standard output stay apart.
+    private static void configureLogs(String[] args) {
+        LogManager.getLogManager().reset();
+        ConsoleHandler handler = new ConsoleHandler();
+        handler.setFormatter(new JsonLineFormatter());
+        handler.setLevel(Level.ALL);
+        Logger root = Logger.getLogger("");
+        root.addHandler(handler);
+        root.setLevel(Level.WARNING);
+        boolean requests = args.length > 0 && Arrays.asList(args).contains("--verbose");
+        Logger.getLogger("org.fuchsiawharf").setLevel(requests ? Level.INFO : Level.WARNING);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/EmbeddedCluster.java
@@ -0,0 +1,169 @@
+package org.fuchsiawharf.daemon.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiawharf.daemon.instance.EntryInstance;
+import org.fuchsiawharf.daemon.instance.EntryOptions;
+import org.fuchsiawharf.daemon.load.Balancer;
+import org.fuchsiawharf.http.client.HttpClient;
+import org.fuchsiawharf.http.client.HttpTarget;
+import org.fuchsiawharf.http.server.ServerLimits;
+import org.fuchsiawharf.standin.StandinFleet;
+
+/**
+ * A deployment in one process: stand-ins, entry instances and a balancer, over loopback.
+ *
+ * <p>Thread-safe.
+ */
+public final class EmbeddedCluster implements AutoCloseable {
+    private static final int CALLER_THREADS = 2;
+    private static final long DIRECTORY_MILLIS = 500;
+    private static final long NOT_READY_MILLIS = 600;
+    private static final long DRAIN_MILLIS = 20_000;
+    private static final long START_TIMEOUT_MILLIS = 10_000;
+    private static final long START_POLL_MILLIS = 20;
+
+    private final Deployment deployment;
+    private final boolean baseline;
+    private final long seed;
+    private final StandinFleet fleet;
+    private final List<EntryInstance> instances = new ArrayList<>();
+    private final HttpClient callers = new HttpClient("callers", CALLER_THREADS);
+    private final Balancer balancer;
+
+    /**
+     * Starts a cluster and waits until every instance is ready.
+     *
+     * @param deployment what to run, not null
+     * @param instancesPerZone entry instances in each availability zone, at least 1
+     * @param baseline whether instances run the baseline policies
+     * @param seed the seed of all random choices
+     */
+    public EmbeddedCluster(Deployment deployment, int instancesPerZone, boolean baseline, long seed) {
+        this.deployment = deployment;
+        this.baseline = baseline;
+        this.seed = seed;
+        this.fleet = new StandinFleet(
+                deployment.standins().zones(), deployment.standins().profiles(), 0, 0, seed);
+        for (String zone : deployment.standins().zones()) {
+            for (int i = 1; i <= instancesPerZone; i++) {
+                instances.add(EntryInstance.start(optionsOf(zone + "-" + i, zone, instances.size())));
+            }
+        }
+        awaitReady();
+        this.balancer = new Balancer(callers, listTargets());
+    }
+
+    /**
+     * Gets the stand-ins.
+     *
+     * @return the fleet, never null
+     */
+    public StandinFleet getFleet() {
+        return fleet;
+    }
+
+    /**
+     * Gets the entry instances.
+     *
+     * @return a copy of the list, never null
+     */
+    public synchronized List<EntryInstance> getInstances() {
+        return List.copyOf(instances);
+    }
+
+    /**
+     * Gets the callers' HTTP client.
+     *
+     * @return the client, never null
+     */
+    public HttpClient getCallers() {
+        return callers;
+    }
+
+    /**
+     * Gets the balancer.
+     *
+     * @return the balancer, never null
+     */
+    public Balancer getBalancer() {
+        return balancer;
+    }
+
+    /**
+     * Starts a successor of an instance, and then stops the instance without cutting off a request.
+     *
+     * @param index the instance's place in the list
+     */
+    public void replace(int index) {
+        EntryInstance old = getInstances().get(index);
+        String zone = deployment
+                .standins()
+                .zones()
+                .get(index * deployment.standins().zones().size() / size());
+        EntryInstance successor = EntryInstance.start(optionsOf(zone + "-r" + index, zone, index));
+        synchronized (this) {
+            instances.set(index, successor);
+        }
+        List<HttpTarget> both = new ArrayList<>(listTargets());
+        both.add(targetOf(old));
+        balancer.setTargets(both);
+        old.stop().join();
+        balancer.setTargets(listTargets());
+        old.close();
+    }
+
+    @Override
+    public void close() {
+        balancer.close();
+        getInstances().forEach(EntryInstance::close);
+        fleet.close();
+        callers.close();
+    }
+
+    private synchronized int size() {
+        return instances.size();
+    }
+
+    private synchronized List<HttpTarget> listTargets() {
+        return instances.stream().map(EmbeddedCluster::targetOf).toList();
+    }
+
+    private static HttpTarget targetOf(EntryInstance instance) {
+        return new HttpTarget("127.0.0.1", instance.getPort());
+    }
+
+    private EntryOptions optionsOf(String name, String zone, int index) {
+        return new EntryOptions(
+                name,
+                zone,
+                "127.0.0.1",
+                0,
+                new HttpTarget("127.0.0.1", fleet.getDirectory().getPort()),
+                DIRECTORY_MILLIS,
+                deployment.objective(),
+                baseline,
+                ServerLimits.defaults(),
+                "embedded-token",
+                NOT_READY_MILLIS,
+                DRAIN_MILLIS,
+                seed + index,
+                deployment.config());
+    }
+
+    private void awaitReady() {
+        long end = System.nanoTime() + START_TIMEOUT_MILLIS * 1_000_000;
+        while (!instances.stream().allMatch(EntryInstance::isReady)) {
+            if (System.nanoTime() > end) {
+                throw new IllegalStateException("instances are not ready after " + START_TIMEOUT_MILLIS + " ms");
+            }
+            try {
+                Thread.sleep(START_POLL_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/instance/EntryInstance.java
@@ -0,0 +1,208 @@
+package org.fuchsiawharf.daemon.instance;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.fuchsiawharf.core.loop.DecisionLoop;
+import org.fuchsiawharf.core.loop.EventProcessor;
+import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.core.model.EndpointStatus;
+import org.fuchsiawharf.core.model.ServingConfig;
+import org.fuchsiawharf.core.port.AttemptId;
+import org.fuchsiawharf.core.port.EndpointPort;
+import org.fuchsiawharf.core.port.Event;
+import org.fuchsiawharf.core.port.StageCall;
+import org.fuchsiawharf.core.request.Counters;
+import org.fuchsiawharf.core.request.InstanceDecisions;
+import org.fuchsiawharf.core.request.PolicySet;
+import org.fuchsiawharf.core.time.Clock;
+import org.fuchsiawharf.http.client.DirectoryPoller;
+import org.fuchsiawharf.http.client.EndpointEvents;
+import org.fuchsiawharf.http.client.HttpClient;
+import org.fuchsiawharf.http.client.HttpEndpointPort;
+import org.fuchsiawharf.http.server.EntryServer;
+import org.fuchsiawharf.http.server.Readiness;
+
+/**
+ * One entry instance: decisions, HTTP server, endpoint calls, directory and metrics.
+ *
+ * <pre>
+ * EntryInstance instance = EntryInstance.start(options);
+ * instance.stop().join();
+ * </pre>
+ *
+ * <p>Thread-safe.
+ */
+public final class EntryInstance implements AutoCloseable {
+    private static final int CLIENT_THREADS = 2;
+    private static final int SERVER_THREADS = 2;
+
+    private final EntryOptions options;
+    private final long startNanos = System.nanoTime();
+    private final Clock clock = () -> System.nanoTime() - startNanos;
+    private final Readiness readiness = new Readiness();
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final HttpClient client;
+    private final DecisionLoop loop;
+    private final InstanceDecisions decisions;
+    private final EntryServer server;
+    private final EndpointEvents events;
+    private final DirectoryPoller directory;
+    private volatile ServingConfig config;
+    private volatile boolean stopping;
+
+    private EntryInstance(EntryOptions options) {
+        this.options = options;
+        this.config = options.config();
+        this.client = new HttpClient(options.name(), CLIENT_THREADS);
+        LateBinding late = new LateBinding();
+        SplittableRandom random = new SplittableRandom(options.seed());
+        PolicySet policies = options.baseline() ? PolicySet.baseline() : PolicySet.of(options.objective(), random);
+        this.decisions = new InstanceDecisions(
+                options.name(),
+                options.zone(),
+                policies,
+                late,
+                new JsonRequestLog(),
+                () -> drained.complete(null),
+                clock.nanos());
+        this.loop = new DecisionLoop(options.name(), (EventProcessor) decisions, clock);
+        late.port = new HttpEndpointPort(client, loop);
+        this.events = new EndpointEvents(client, loop);
+        this.directory = new DirectoryPoller(client, options.platform(), options.directoryMillis(), this::onEndpoints);
+        registerCounters();
+        loop.start();
+        loop.publish(new Event.ConfigAdopted(config));
+        this.server = new EntryServer(
+                options.host(),
+                options.port(),
+                SERVER_THREADS,
+                options.limits(),
+                options.operatorToken(),
+                new EntryServer.Parts(loop, () -> config, clock, readiness, metrics::scrape));
+    }
+
+    /**
+     * Starts an instance, which is ready once it has read the directory.
+     *
+     * @param options what it is told, not null
+     * @return the instance, never null
+     */
+    public static EntryInstance start(EntryOptions options) {
+        EntryInstance instance = new EntryInstance(options);
+        instance.directory.start();
+        return instance;
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Gets the port of its HTTP server.
+     *
+     * @return the TCP port
+     */
+    public int getPort() {
+        return server.getPort();
+    }
+
+    /**
+     * Gets its counters.
+     *
+     * @return the counters, never null
+     */
+    public Counters getCounters() {
+        return decisions.getCounters();
+    }
+
+    /**
+     * Tells whether it wants new requests.
+     *
+     * @return true if it does
+     */
+    public boolean isReady() {
+        return readiness.isReady();
+    }
+
+    /**
+     * Stops without cutting off any request: reports not ready, goes on taking requests for a while, then refuses
+     * new ones and waits for the others.
+     *
+     * @return completes when no request is left or the drain time is over, never null
+     */
+    public CompletableFuture<Void> stop() {
+        stopping = true;
+        readiness.setReady(false);
+        client.getIoThread()
+                .executeAfter(
+                        () -> loop.publish(new Event.ShutdownRequested(false)),
+                        options.notReadyMillis(),
+                        TimeUnit.MILLISECONDS);
+        long bound = options.notReadyMillis() + options.drainMillis();
+        return drained.copy().completeOnTimeout(null, bound, TimeUnit.MILLISECONDS);
+    }
+
+    /** Refuses what is queued and has not run; what runs goes on. */
+    public void refuseQueued() {
+        loop.publish(new Event.ShutdownRequested(true));
+    }
+
+    /** Ends at once, whatever runs. */
+    @Override
+    public void close() {
+        stopping = true;
+        readiness.setReady(false);
+        directory.close();
+        events.close();
+        server.close();
+        client.close();
+        loop.close();
+    }
+
+    // -----------------------------------------------------------------------
+
+    private void onEndpoints(List<EndpointStatus> statuses) {
+        loop.publish(new Event.EndpointsListed(statuses));
+        events.follow(statuses);
+        if (!stopping) {
+            readiness.setReady(true);
+        }
+    }
+
+    private void registerCounters() {
+        for (Counters.Name name : Counters.Name.values()) {
+            String meter = "fuchsiawharf."
+                    + name.name().toLowerCase(java.util.Locale.ROOT).replace('_', '.');
+            FunctionCounter.builder(meter, decisions.getCounters(), counters -> counters.get(name))
+                    .tag("instance", options.name())
+                    .tag("zone", options.zone())
+                    .register(metrics);
+        }
+    }
+
+    /** Breaks the circle between the decisions, which send calls, and the loop, which takes the answers. */
+    private static final class LateBinding implements EndpointPort {
+        private EndpointPort port = new EndpointPort() {
+            @Override
+            public void call(StageCall call) {}
+
+            @Override
+            public void cancel(AttemptId id, Endpoint endpoint) {}
+        };
+
+        @Override
+        public void call(StageCall call) {
+            port.call(call);
+        }
+
+        @Override
+        public void cancel(AttemptId id, Endpoint endpoint) {
+            port.cancel(id, endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/load/LoadSummary.java
@@ -0,0 +1,171 @@
+package org.fuchsiawharf.daemon.load;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.HdrHistogram.Histogram;
+import org.fuchsiawharf.daemon.load.CallerRecord.Result;
+import org.fuchsiawharf.standin.Ledger;
+
+/**
+ * What a load showed, from callers' records and endpoints' ledgers alone.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param requests requests sent
+ * @param answered whole answers
+ * @param attainment the share of requests answered whole and in time
+ * @param lost requests without any answer, or with an answer that is not whole
+ * @param doubled requests of which a non-repeatable stage ran more than once
+ * @param crossed answers or stage inputs that belong to another request
+ * @param falseNotRun requests refused as not run of which a stage ran
+ * @param cut streams that broke off without their last event
+ * @param lateShare the share of requests answered after their deadline
+ * @param outcomes requests by result and code
+ * @param costByStage work by stage
+ * @param costRatio all work done as a multiple of the work needed, each stage weighed by its units
+ * @param latency quantiles of answered requests
+ */
+public record LoadSummary(
+        int requests,
+        int answered,
+        double attainment,
+        int lost,
+        int doubled,
+        int crossed,
+        int falseNotRun,
+        int cut,
+        double lateShare,
+        Map<String, Integer> outcomes,
+        List<StageCost> costByStage,
+        double costRatio,
+        Latency latency) {
+    private static final long MAX_LATENCY_MICROS = 600_000_000;
+    private static final double MICROS_PER_MILLI = 1_000;
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    /**
+     * Quantiles in milliseconds.
+     *
+     * @param p50 the median
+     * @param p95 the 95th percentile
+     * @param p99 the 99th percentile
+     * @param max the greatest
+     */
+    public record Latency(double p50, double p95, double p99, double max) {}
+
+    /**
+     * Compares what callers were told with what endpoints ran.
+     *
+     * @param records the callers' records, not null
+     * @param runs the runs of this load in the ledger, not null
+     * @param unsafeStages the stages that may run only once, not null
+     * @return the summary, never null
+     */
+    public static LoadSummary of(List<CallerRecord> records, List<Ledger.View> runs, Set<String> unsafeStages) {
+        Map<String, CallerRecord> byNonce = new HashMap<>();
+        records.forEach(record -> byNonce.put(record.planned().nonce(), record));
+        Set<String> ran = new HashSet<>();
+        Map<String, Integer> unsafeRuns = new HashMap<>();
+        int crossed = count(records, Result.CROSSED);
+        for (Ledger.View run : runs) {
+            ran.add(run.nonce());
+            crossed += run.crossed() ? 1 : 0;
+            if (unsafeStages.contains(run.stage())) {
+                unsafeRuns.merge(run.nonce() + "/" + run.stage(), 1, Integer::sum);
+            }
+        }
+        int falseNotRun = (int) records.stream()
+                .filter(record -> record.result() == Result.NOT_RUN)
+                .filter(record -> ran.contains(record.planned().nonce()))
+                .count();
+        int attained = (int) records.stream().filter(CallerRecord::isAttained).count();
+        int late = (int) records.stream().filter(CallerRecord::isLate).count();
+        List<StageCost> costs = costs(byNonce, runs);
+        double done = costs.stream().mapToDouble(StageCost::done).sum();
+        double needed = costs.stream().mapToDouble(StageCost::needed).sum();
+        int lost = count(records, Result.LOST) + count(records, Result.INCOMPLETE) + count(records, Result.REFUSED);
+        return new LoadSummary(
+                records.size(),
+                count(records, Result.ANSWERED),
+                share(attained, records.size()),
+                lost,
+                (int) unsafeRuns.values().stream().filter(n -> n > 1).count(),
+                crossed,
+                falseNotRun,
+                count(records, Result.CUT),
+                share(late, records.size()),
+                outcomes(records),
+                costs,
+                needed == 0 ? 0 : done / needed,
+                latency(records));
+    }
+
+    /**
+     * Tells whether no promise was broken.
+     *
+     * @return true if nothing was lost, doubled, crossed, falsely refused or cut
+     */
+    public boolean isSafe() {
+        return lost + doubled + crossed + falseNotRun + cut == 0;
+    }
+
+    private static int count(List<CallerRecord> records, Result result) {
+        return (int)
+                records.stream().filter(record -> record.result() == result).count();
+    }
+
+    private static double share(int part, int whole) {
+        return whole == 0 ? 0 : (double) part / whole;
+    }
+
+    private static Map<String, Integer> outcomes(List<CallerRecord> records) {
+        Map<String, Integer> outcomes = new TreeMap<>();
+        for (CallerRecord record : records) {
+            String code = record.code().isEmpty() ? "" : " " + record.code();
+            outcomes.merge(record.result().name().toLowerCase(java.util.Locale.ROOT) + code, 1, Integer::sum);
+        }
+        return outcomes;
+    }
+
+    private static List<StageCost> costs(Map<String, CallerRecord> byNonce, List<Ledger.View> runs) {
+        Map<String, Double> done = new TreeMap<>();
+        Map<String, Double> needed = new TreeMap<>();
+        Set<String> counted = new HashSet<>();
+        for (Ledger.View run : runs) {
+            CallerRecord record = byNonce.get(run.nonce());
+            done.merge(run.stage(), run.units(), Double::sum);
+            double units = 0;
+            if (record != null && record.isAttained() && counted.add(run.nonce() + "/" + run.stage())) {
+                units = neededUnits(run, record);
+            }
+            needed.merge(run.stage(), units, Double::sum);
+        }
+        List<StageCost> costs = new ArrayList<>();
+        done.forEach((stage, units) -> costs.add(new StageCost(stage, units, needed.getOrDefault(stage, 0.0))));
+        return costs;
+    }
+
+    private static double neededUnits(Ledger.View run, CallerRecord record) {
+        return run.generates() ? record.planned().template().tokens() : 1;
+    }
+
+    private static Latency latency(List<CallerRecord> records) {
+        Histogram histogram = new Histogram(MAX_LATENCY_MICROS, 3);
+        for (CallerRecord record : records) {
+            if (record.result() == Result.ANSWERED) {
+                histogram.recordValue(Math.min(MAX_LATENCY_MICROS, record.latencyNanos() / NANOS_PER_MICRO));
+            }
+        }
+        return new Latency(
+                histogram.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                histogram.getValueAtPercentile(95) / MICROS_PER_MILLI,
+                histogram.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                histogram.getMaxValue() / MICROS_PER_MILLI);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/EntrySettings.java
@@ -0,0 +1,76 @@
+package org.fuchsiawharf.daemon.settings;
+
+import java.nio.file.Path;
+
+import org.fuchsiawharf.core.model.Objective;
+import org.fuchsiawharf.core.model.ServingConfig;
+import org.fuchsiawharf.daemon.instance.EntryOptions;
+import org.fuchsiawharf.http.client.HttpTarget;
+import org.fuchsiawharf.http.server.ServerLimits;
+
+/**
+ * Reads the settings of an entry instance.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class EntrySettings {
+    private static final int MAX_PORT = 65_535;
+    private static final int MAX_BYTES = 16 << 20;
+
+    private EntrySettings() {}
+
+    /**
+     * Reads the settings of an instance and the configuration file that they name.
+     *
+     * @param file the YAML file, not null
+     * @return the options, never null
+     * @throws org.fuchsiawharf.core.error.WharfException if a file has errors, naming all of one file
+     */
+    public static EntryOptions read(Path file) {
+        return SettingsFile.read(file, root -> toOptions(root, file));
+    }
+
+    private static EntryOptions toOptions(SettingsNode root, Path file) {
+        SettingsNode instance = root.child("instance");
+        SettingsNode platform = root.child("platform");
+        SettingsNode operator = root.child("operator");
+        SettingsNode shutdown = root.child("shutdown");
+        SettingsNode limits = root.child("limits");
+        Path configuration = file.resolveSibling(root.text("configuration", "configuration.yaml"));
+        EntryOptions options = new EntryOptions(
+                instance.text("name", null),
+                instance.text("zone", null),
+                instance.text("host", "127.0.0.1"),
+                (int) instance.number("port", 0, MAX_PORT, null),
+                HttpTarget.parse(platform.text("address", null)),
+                platform.number("directoryMillis", 50, 60_000, 1_000L),
+                root.choice("objective", Objective.class, Objective.ATTAINMENT),
+                root.flag("baseline", false),
+                toLimits(limits),
+                operator.text("token", null),
+                shutdown.number("notReadyMillis", 0, 60_000, 1_000L),
+                shutdown.number("drainMillis", 0, 600_000, 120_000L),
+                root.number("seed", Long.MIN_VALUE, Long.MAX_VALUE, System.nanoTime()),
+                readConfiguration(configuration));
+        instance.end();
+        platform.end();
+        operator.end();
+        shutdown.end();
+        limits.end();
+        return options;
+    }
+
+    private static ServingConfig readConfiguration(Path file) {
+        return ConfigurationFile.read(file);
+    }
+
+    private static ServerLimits toLimits(SettingsNode node) {
+        ServerLimits absent = ServerLimits.defaults();
+        return new ServerLimits(
+                (int) node.number("maxBodyBytes", 1_024, MAX_BYTES, (long) absent.maxBodyBytes()),
+                (int) node.number("maxConnections", 1, 100_000, (long) absent.maxConnections()),
+                node.number("maxDeadlineMillis", 1, 600_000, absent.maxDeadlineMillis()),
+                node.number("bodyTimeoutMillis", 100, 600_000, absent.bodyTimeoutMillis()),
+                (int) node.number("maxUnsentBytes", 1_024, MAX_BYTES, (long) absent.maxUnsentBytes()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/SettingsFile.java
@@ -0,0 +1,55 @@
+package org.fuchsiawharf.daemon.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import org.fuchsiawharf.core.error.ErrorCode;
+import org.fuchsiawharf.core.error.WharfException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads a YAML file into a checked value.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class SettingsFile {
+    private static final YAMLMapper MAPPER = new YAMLMapper();
+
+    private SettingsFile() {}
+
+    /**
+     * Reads a file.
+     *
+     * @param <T> the value's type
+     * @param file the file, not null
+     * @param build builds the value from the top mapping, not null
+     * @return the value, never null
+     * @throws WharfException if the file can't be read or has errors, naming all of them
+     */
+    static <T> T read(Path file, Function<SettingsNode, T> build) {
+        SettingsErrors errors = new SettingsErrors(file.toString());
+        SettingsNode root = new SettingsNode(parse(file), "", errors);
+        @Nullable T value = root.build(build, null);
+        root.end();
+        errors.check();
+        if (value == null) {
+            throw new WharfException(ErrorCode.SETTINGS_INVALID, file + ": refused");
+        }
+        return value;
+    }
+
+    private static JsonNode parse(Path file) {
+        try {
+            return MAPPER.readTree(Files.readString(file));
+        } catch (JsonProcessingException e) {
+            throw new WharfException(ErrorCode.SETTINGS_INVALID, file + ": not YAML: " + e.getOriginalMessage(), e);
+        } catch (IOException e) {
+            throw new WharfException(ErrorCode.SETTINGS_INVALID, file + ": can't be read: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
@@ -0,0 +1,206 @@
+package org.fuchsiawharf.http.client;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.Headers;
+import org.jspecify.annotations.Nullable;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One exchange of a request and its response on one I/O thread.
+ *
+ * <p>Its handler hears either the end or a failure, exactly once, unless the call was cancelled. Confined to its
+ * I/O thread, but for {@link #cancel}, which any thread may call.
+ */
+public final class HttpCall {
+    private final HttpClient client;
+    private final HttpTarget target;
+    private final ClientRequest request;
+    private final byte[] body;
+    private final HttpHandlerCallbacks handler;
+    private final XnioIoThread thread;
+
+    private @Nullable ClientConnection connection;
+    private boolean sent;
+    private boolean ended;
+
+    HttpCall(
+            HttpClient client,
+            HttpTarget target,
+            ClientRequest request,
+            byte[] body,
+            HttpHandlerCallbacks handler,
+            XnioIoThread thread) {
+        this.client = client;
+        this.target = target;
+        this.request = request;
+        this.body = body;
+        this.handler = handler;
+        this.thread = thread;
+    }
+
+    /** Ends the call; its connection is closed and its handler hears nothing more. */
+    public void cancel() {
+        thread.execute(() -> {
+            if (!ended) {
+                ended = true;
+                IoUtils.safeClose(connection);
+            }
+        });
+    }
+
+    // -----------------------------------------------------------------------
+
+    void start(boolean freshConnection) {
+        thread.execute(() -> {
+            ClientConnection idle = freshConnection ? null : client.takeIdle(target, thread);
+            if (idle != null) {
+                send(idle);
+            } else {
+                client.connect(target, thread, new OnConnected());
+            }
+        });
+    }
+
+    private void send(ClientConnection opened) {
+        connection = opened;
+        if (ended) {
+            IoUtils.safeClose(opened);
+            return;
+        }
+        opened.getCloseSetter().set(c -> fail(new ClosedChannelException()));
+        request.getRequestHeaders().put(Headers.HOST, target.toString());
+        if (body.length > 0) {
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        }
+        opened.sendRequest(request, new OnSendable());
+    }
+
+    private void write(ClientExchange exchange) {
+        sent = true;
+        StreamSinkChannel channel = exchange.getRequestChannel();
+        ByteBuffer buffer = ByteBuffer.wrap(body);
+        channel.getWriteSetter().set(c -> writeRest(channel, buffer));
+        writeRest(channel, buffer);
+    }
+
+    private void writeRest(StreamSinkChannel channel, ByteBuffer buffer) {
+        try {
+            while (buffer.hasRemaining()) {
+                if (channel.write(buffer) == 0) {
+                    channel.resumeWrites();
+                    return;
+                }
+            }
+            channel.shutdownWrites();
+            if (!channel.flush()) {
+                channel.getWriteSetter()
+                        .set(ChannelListeners.flushingChannelListener(
+                                StreamSinkChannel::suspendWrites, (c, e) -> fail(e)));
+                channel.resumeWrites();
+            } else {
+                channel.suspendWrites();
+            }
+        } catch (IOException e) {
+            fail(e);
+        }
+    }
+
+    private void readHead(ClientExchange exchange) {
+        if (ended) {
+            return;
+        }
+        handler.onHead(
+                exchange.getResponse().getResponseCode(), exchange.getResponse().getResponseHeaders());
+        StreamSourceChannel channel = exchange.getResponseChannel();
+        channel.getReadSetter().set(c -> readBody(channel));
+        readBody(channel);
+    }
+
+    private void readBody(StreamSourceChannel channel) {
+        try (PooledByteBuffer pooled = client.getBuffers().allocate()) {
+            ByteBuffer buffer = pooled.getBuffer();
+            while (!ended) {
+                buffer.clear();
+                int count = channel.read(buffer);
+                if (count < 0) {
+                    end();
+                    return;
+                }
+                if (count == 0) {
+                    channel.resumeReads();
+                    return;
+                }
+                buffer.flip();
+                handler.onData(buffer);
+            }
+        } catch (IOException e) {
+            fail(e);
+        }
+    }
+
+    private void end() {
+        ended = true;
+        ClientConnection used = connection;
+        if (used != null && used.isOpen()) {
+            client.putIdle(target, thread, used);
+        }
+        handler.onEnd();
+    }
+
+    private void fail(IOException e) {
+        if (!ended) {
+            ended = true;
+            IoUtils.safeClose(connection);
+            handler.onFailure(sent, e);
+        }
+    }
+
+    private final class OnConnected implements ClientCallback<ClientConnection> {
+        @Override
+        public void completed(ClientConnection opened) {
+            send(opened);
+        }
+
+        @Override
+        public void failed(IOException e) {
+            fail(e);
+        }
+    }
+
+    private final class OnSendable implements ClientCallback<ClientExchange> {
+        @Override
+        public void completed(ClientExchange exchange) {
+            exchange.setResponseListener(new OnResponse());
+            write(exchange);
+        }
+
+        @Override
+        public void failed(IOException e) {
+            fail(e);
+        }
+    }
+
+    private final class OnResponse implements ClientCallback<ClientExchange> {
+        @Override
+        public void completed(ClientExchange exchange) {
+            readHead(exchange);
+        }
+
+        @Override
+        public void failed(IOException e) {
+            fail(e);
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/fuchsiawharf/http/client/HttpClient.java
@@ -0,0 +1,170 @@
+package org.fuchsiawharf.http.client;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import org.jspecify.annotations.Nullable;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * Sends HTTP/1.1 requests over kept connections, one request at a time on each.
+ *
+ * <p>Each I/O thread keeps its own idle connections. Thread-safe.
+ */
+public final class HttpClient implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_IDLE_PER_TARGET = 64;
+
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private final Map<XnioIoThread, Map<HttpTarget, Deque<ClientConnection>>> idle = new ConcurrentHashMap<>();
+
+    /**
+     * Starts a client.
+     *
+     * @param name the name of its threads, not null
+     * @param ioThreads the number of I/O threads, at least 1
+     */
+    public HttpClient(String name, int ioThreads) {
+        try {
+            this.worker = Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_NAME, "http-" + name)
+                            .set(Options.WORKER_IO_THREADS, ioThreads)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.THREAD_DAEMON, true)
+                            .set(Options.TCP_NODELAY, true)
+                            .getMap());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Sends a POST request.
+     *
+     * @param target where to, not null
+     * @param path the path, not null
+     * @param headers the header fields besides Host and Content-Length, not null
+     * @param body the body, not null
+     * @param freshConnection whether to open a connection for it, on which no earlier close can be under way
+     * @param handler hears of the response, not null
+     * @return the call, never null
+     */
+    public HttpCall post(
+            HttpTarget target,
+            String path,
+            Map<HttpString, String> headers,
+            byte[] body,
+            boolean freshConnection,
+            HttpHandlerCallbacks handler) {
+        return send(Methods.POST, target, path, headers, body, freshConnection, handler);
+    }
+
+    /**
+     * Sends a GET request.
+     *
+     * @param target where to, not null
+     * @param path the path, not null
+     * @param headers the header fields besides Host, not null
+     * @param handler hears of the response, not null
+     * @return the call, never null
+     */
+    public HttpCall get(HttpTarget target, String path, Map<HttpString, String> headers, HttpHandlerCallbacks handler) {
+        return send(Methods.GET, target, path, headers, new byte[0], false, handler);
+    }
+
+    /**
+     * Gets an I/O thread to run short tasks later.
+     *
+     * @return a thread, never null
+     */
+    public XnioIoThread getIoThread() {
+        return worker.getIoThread();
+    }
+
+    @Override
+    public void close() {
+        idle.forEach((thread, byTarget) -> thread.execute(() -> closeAll(byTarget)));
+        worker.shutdown();
+    }
+
+    private static void closeAll(Map<HttpTarget, Deque<ClientConnection>> byTarget) {
+        byTarget.values().forEach(kept -> List.copyOf(kept).forEach(IoUtils::safeClose));
+    }
+
+    private HttpCall send(
+            HttpString method,
+            HttpTarget target,
+            String path,
+            Map<HttpString, String> headers,
+            byte[] body,
+            boolean freshConnection,
+            HttpHandlerCallbacks handler) {
+        ClientRequest request = new ClientRequest().setMethod(method).setPath(path);
+        headers.forEach((name, value) -> request.getRequestHeaders().put(name, value));
+        HttpCall call = new HttpCall(this, target, request, body, handler, worker.getIoThread());
+        call.start(freshConnection);
+        return call;
+    }
+
+    // -----------------------------------------------------------------------
+
+    ByteBufferPool getBuffers() {
+        return buffers;
+    }
+
+    void connect(HttpTarget target, XnioIoThread thread, ClientCallback<ClientConnection> callback) {
+        UndertowClient.getInstance()
+                .connect(callback, target.toUri(), thread, buffers, OptionMap.create(Options.TCP_NODELAY, true));
+    }
+
+    @Nullable
+    ClientConnection takeIdle(HttpTarget target, XnioIoThread thread) {
+        Deque<ClientConnection> kept = idleOf(target, thread);
+        while (!kept.isEmpty()) {
+            ClientConnection connection = kept.removeLast();
+            if (connection.isOpen()) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
+    void putIdle(HttpTarget target, XnioIoThread thread, ClientConnection connection) {
+        Deque<ClientConnection> kept = idleOf(target, thread);
+        if (kept.size() >= MAX_IDLE_PER_TARGET) {
+            IoUtils.safeClose(connection);
+        } else {
+            connection.getCloseSetter().set(c -> kept.remove(connection));
+            kept.addLast(connection);
+        }
+    }
+
+    // Each inner map is touched only by its own thread.
+    private Deque<ClientConnection> idleOf(HttpTarget target, XnioIoThread thread) {
+        return idle.computeIfAbsent(thread, t -> new HashMap<>()).computeIfAbsent(target, t -> new ArrayDeque<>());
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/fuchsiawharf/http/server/EntryServer.java
@@ -0,0 +1,111 @@
+package org.fuchsiawharf.http.server;
+
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+import io.undertow.Handlers;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import org.fuchsiawharf.core.model.ServingConfig;
+import org.fuchsiawharf.core.port.EventSink;
+import org.fuchsiawharf.core.time.Clock;
+import org.xnio.Options;
+
+/**
+ * The HTTP server of an entry instance.
+ *
+ * <p>Serves callers, operators, health checks and metrics. Thread-safe.
+ */
+public final class EntryServer implements AutoCloseable {
+    private static final int HEADER_TIMEOUT_MILLIS = 5_000;
+    private static final int IDLE_TIMEOUT_MILLIS = 180_000;
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+    private static final int MAX_HEADERS = 64;
+    private static final int BACKLOG = 1_024;
+
+    private final Undertow undertow;
+
+    /**
+     * What a server needs of its instance.
+     *
+     * @param sink takes the requests
+     * @param config the configuration in force
+     * @param clock the decisions' clock
+     * @param readiness whether new requests are wanted
+     * @param metrics renders the metrics
+     */
+    public record Parts(
+            EventSink sink,
+            Supplier<ServingConfig> config,
+            Clock clock,
+            Readiness readiness,
+            Supplier<String> metrics) {}
+
+    /**
+     * Starts a server.
+     *
+     * @param host the IP number to listen on, not null
+     * @param port the TCP port, 0 for any free one
+     * @param ioThreads the number of I/O threads, at least 1
+     * @param limits bounds on callers, not null
+     * @param operatorToken the operators' bearer token, not null
+     * @param parts what it needs of its instance, not null
+     */
+    public EntryServer(String host, int port, int ioThreads, ServerLimits limits, String operatorToken, Parts parts) {
+        EventSink sink = parts.sink();
+        RequestReader reader = new RequestReader(parts.clock(), limits);
+        CallerHandler callers = new CallerHandler(sink, parts.config(), reader, limits);
+        RoutingHandler routes = Handlers.routing()
+                .post("/v1/pipelines/{pipeline}/requests", callers)
+                .post("/v1/services/{service}/{call}", callers)
+                .get("/v1/status", new OperatorHandler(sink, operatorToken))
+                .get("/health/live", exchange -> exchange.getResponseSender().send("live\n"))
+                .get("/health/ready", readyHandler(parts.readiness()))
+                .get("/metrics", exchange -> {
+                    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
+                    exchange.getResponseSender().send(parts.metrics().get());
+                });
+        undertow = Undertow.builder()
+                .addHttpListener(port, host)
+                .setIoThreads(ioThreads)
+                .setWorkerThreads(1)
+                .setWorkerOption(Options.THREAD_DAEMON, true)
+                .setSocketOption(Options.BACKLOG, BACKLOG)
+                .setSocketOption(Options.TCP_NODELAY, true)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, limits.maxConnections())
+                .setSocketOption(Options.CONNECTION_LOW_WATER, limits.maxConnections())
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) limits.maxBodyBytes())
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+                .setHandler(routes)
+                .build();
+        undertow.start();
+    }
+
+    /**
+     * Gets the port that the server listens on.
+     *
+     * @return the TCP port
+     */
+    public int getPort() {
+        return ((InetSocketAddress) undertow.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    @Override
+    public void close() {
+        undertow.stop();
+    }
+
+    private static HttpHandler readyHandler(Readiness readiness) {
+        return exchange -> {
+            exchange.setStatusCode(readiness.isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+            exchange.getResponseSender().send(readiness.isReady() ? "ready\n" : "not ready\n");
+        };
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiawharf/standin/DirectoryStandin.java
@@ -0,0 +1,89 @@
+package org.fuchsiawharf.standin;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.Handlers;
+import io.undertow.Undertow;
+import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.http.JsonText;
+import org.xnio.Options;
+
+/**
+ * The platform's list of live and leaving endpoints, which lags behind the truth.
+ *
+ * <p>Thread-safe.
+ */
+public final class DirectoryStandin implements AutoCloseable {
+    private final Undertow server;
+    private final StandinRuntime runtime;
+    private final long lagMillis;
+    private volatile List<Line> listed = List.of();
+
+    /**
+     * Starts a directory without endpoints.
+     *
+     * @param runtime its threads, not null
+     * @param port its TCP port, 0 for any free one
+     * @param lagMillis how long a change takes to show, in milliseconds
+     */
+    public DirectoryStandin(StandinRuntime runtime, int port, long lagMillis) {
+        this.runtime = runtime;
+        this.lagMillis = lagMillis;
+        this.server = Undertow.builder()
+                .setWorker(runtime.getWorker())
+                .addHttpListener(port, "127.0.0.1")
+                .setSocketOption(Options.BACKLOG, 1_024)
+                .setHandler(Handlers.routing().get("/v1/instances", exchange -> exchange.getResponseSender()
+                        .send(JsonText.write(new Listing(listed)))))
+                .build();
+        server.start();
+    }
+
+    private record Line(String name, String service, String zone, String host, int port, String state) {}
+
+    private record Listing(List<Line> instances) {}
+
+    /**
+     * Gets the directory's port.
+     *
+     * @return the TCP port
+     */
+    public int getPort() {
+        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    /**
+     * Replaces the list at once.
+     *
+     * @param live live endpoints, not null
+     * @param leaving leaving endpoints, not null
+     */
+    public void setNow(List<Endpoint> live, List<Endpoint> leaving) {
+        List<Line> lines = new ArrayList<>();
+        live.forEach(endpoint -> lines.add(toLine(endpoint, "live")));
+        leaving.forEach(endpoint -> lines.add(toLine(endpoint, "leaving")));
+        listed = List.copyOf(lines);
+    }
+
+    /**
+     * Replaces the list after the lag.
+     *
+     * @param live live endpoints, not null
+     * @param leaving leaving endpoints, not null
+     */
+    public void setLate(List<Endpoint> live, List<Endpoint> leaving) {
+        runtime.getScheduler().schedule(() -> setNow(live, leaving), lagMillis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private static Line toLine(Endpoint endpoint, String state) {
+        return new Line(endpoint.name(), endpoint.service(), endpoint.zone(), endpoint.host(), endpoint.port(), state);
+    }
+}
