Run instances and stand-ins as processes, and load them from a schedule

Cause: the path had only been served inside one process.

The load is open-loop: latency counts from the planned time, and the endpoints' ledger decides what ran.

--- a/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
@@ -16,8 +16,13 @@
 import org.fuchsiawharf.core.error.ArgumentException;
 import org.fuchsiawharf.core.error.ErrorCode;
 import org.fuchsiawharf.core.error.WharfException;
+import org.fuchsiawharf.daemon.cli.CheckSettingsCommand;
 import org.fuchsiawharf.daemon.cli.Command;
 import org.fuchsiawharf.daemon.cli.DemoCommand;
+import org.fuchsiawharf.daemon.cli.EntryCommand;
+import org.fuchsiawharf.daemon.cli.LoadCommand;
+import org.fuchsiawharf.daemon.cli.StandinCommand;
+import org.fuchsiawharf.daemon.cli.StatusCommand;
 
 /**
  * Runs the command line.
@@ -25,7 +30,13 @@
  * <p>Stateless.
  */
 public final class Main {
-    private static final List<Command> COMMANDS = List.of(new DemoCommand());
+    private static final List<Command> COMMANDS = List.of(
+            new EntryCommand(),
+            new StandinCommand(),
+            new DemoCommand(),
+            new LoadCommand(),
+            new CheckSettingsCommand(),
+            new StatusCommand());
     private static final String HELP = "help";
 
     private Main() {}
--- /dev/null
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/cli/EntryCommand.java
@@ -0,0 +1,46 @@
+package org.fuchsiawharf.daemon.cli;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.fuchsiawharf.daemon.instance.EntryInstance;
+import org.fuchsiawharf.daemon.instance.EntryOptions;
+import org.fuchsiawharf.daemon.settings.EntrySettings;
+
+/**
+ * Runs one entry instance until it is told to stop.
+ *
+ * <p>Holds no state.
+ */
+public final class EntryCommand implements Command {
+    @Override
+    public String getName() {
+        return "entry";
+    }
+
+    @Override
+    public String getSummary() {
+        return "runs one entry instance; the first SIGTERM drains it, a second refuses what is queued";
+    }
+
+    @Override
+    public void declare(OptionParser parser) {
+        parser.accepts(OptionNames.SETTINGS, "settings of the instance").withRequiredArg();
+    }
+
+    @Override
+    public int run(OptionSet options, PrintStream out) {
+        EntryOptions settings = EntrySettings.read(Path.of(OptionNames.required(options, OptionNames.SETTINGS)));
+        EntryInstance instance = EntryInstance.start(settings);
+        Signals signals = Signals.handle(instance::refuseQueued);
+        out.println("entry instance " + settings.name() + " listens on " + settings.host() + ":" + instance.getPort());
+        signals.awaitFirst();
+        out.println("entry instance " + settings.name() + " is draining");
+        instance.stop().join();
+        instance.close();
+        out.println("entry instance " + settings.name() + " has stopped");
+        return OK;
+    }
+}
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/load/LoadSummary.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/load/LoadSummary.java
@@ -63,7 +63,7 @@
      * Compares what callers were told with what endpoints ran.
      *
      * @param records the callers' records, not null
-     * @param runs the runs of this load in the ledger, not null
+     * @param runs the runs in the ledger, of which those of other requests are left out, not null
      * @param unsafeStages the stages that may run only once, not null
      * @return the summary, never null
      */
@@ -74,6 +74,9 @@
         Map<String, Integer> unsafeRuns = new HashMap<>();
         int crossed = count(records, Result.CROSSED);
         for (Ledger.View run : runs) {
+            if (!byNonce.containsKey(run.nonce())) {
+                continue;
+            }
             ran.add(run.nonce());
             crossed += run.crossed() ? 1 : 0;
             if (unsafeStages.contains(run.stage())) {
@@ -139,9 +142,12 @@
         Set<String> counted = new HashSet<>();
         for (Ledger.View run : runs) {
             CallerRecord record = byNonce.get(run.nonce());
+            if (record == null) {
+                continue;
+            }
             done.merge(run.stage(), run.units(), Double::sum);
             double units = 0;
-            if (record != null && record.isAttained() && counted.add(run.nonce() + "/" + run.stage())) {
+            if (record.isAttained() && counted.add(run.nonce() + "/" + run.stage())) {
                 units = neededUnits(run, record);
             }
             needed.merge(run.stage(), units, Double::sum);
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/settings/ConfigurationFile.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/ConfigurationFile.java
@@ -58,7 +58,7 @@
     }
 
     private static Pipeline toPipeline(SettingsNode node) {
-        String name = node.text("name", null);
+        String name = node.name("name");
         List<StageSpec> stages = node.children("stages").stream()
                 .map(stage -> {
                     StageSpec spec = toStage(stage);
@@ -71,16 +71,13 @@
 
     private static StageSpec toStage(SettingsNode node) {
         return new StageSpec(
-                node.text("name", null),
-                node.text("service", null),
-                node.flag("repeatable", true),
-                node.flag("streaming", false));
+                node.name("name"), node.name("service"), node.flag("repeatable", true), node.flag("streaming", false));
     }
 
     private static void addService(SettingsNode node, Map<String, Pipeline> services) {
-        String service = node.text("name", null);
+        String service = node.name("name");
         for (SettingsNode call : node.children("calls")) {
-            String name = call.text("name", null);
+            String name = call.name("name");
             boolean repeatable = call.flag("repeatable", false);
             call.end();
             Pipeline pipeline = call.build(
@@ -94,7 +91,7 @@
 
     private static Workspace toWorkspace(SettingsNode node) {
         return new Workspace(
-                node.text("name", null),
+                node.name("name"),
                 (int) node.number("weight", 1, 1_000, 1L),
                 (int) node.number("maxConcurrent", 1, MAX_COUNT, 1_000L),
                 node.choice("priority", Priority.class, Priority.NORMAL));
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/settings/EntrySettings.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/EntrySettings.java
@@ -1,9 +1,9 @@
 package org.fuchsiawharf.daemon.settings;
 
 import java.nio.file.Path;
+import java.util.List;
 
 import org.fuchsiawharf.core.model.Objective;
-import org.fuchsiawharf.core.model.ServingConfig;
 import org.fuchsiawharf.daemon.instance.EntryOptions;
 import org.fuchsiawharf.http.client.HttpTarget;
 import org.fuchsiawharf.http.server.ServerLimits;
@@ -36,32 +36,36 @@
         SettingsNode operator = root.child("operator");
         SettingsNode shutdown = root.child("shutdown");
         SettingsNode limits = root.child("limits");
-        Path configuration = file.resolveSibling(root.text("configuration", "configuration.yaml"));
-        EntryOptions options = new EntryOptions(
-                instance.text("name", null),
-                instance.text("zone", null),
-                instance.text("host", "127.0.0.1"),
-                (int) instance.number("port", 0, MAX_PORT, null),
-                HttpTarget.parse(platform.text("address", null)),
-                platform.number("directoryMillis", 50, 60_000, 1_000L),
-                root.choice("objective", Objective.class, Objective.ATTAINMENT),
-                root.flag("baseline", false),
-                toLimits(limits),
-                operator.text("token", null),
-                shutdown.number("notReadyMillis", 0, 60_000, 1_000L),
-                shutdown.number("drainMillis", 0, 600_000, 120_000L),
-                root.number("seed", Long.MIN_VALUE, Long.MAX_VALUE, System.nanoTime()),
-                readConfiguration(configuration));
-        instance.end();
-        platform.end();
-        operator.end();
-        shutdown.end();
-        limits.end();
-        return options;
-    }
-
-    private static ServingConfig readConfiguration(Path file) {
-        return ConfigurationFile.read(file);
+        String name = instance.name("name");
+        String zone = instance.name("zone");
+        String host = instance.text("host", "127.0.0.1");
+        int port = (int) instance.number("port", 0, MAX_PORT, null);
+        HttpTarget address = platform.address("address");
+        long directoryMillis = platform.number("directoryMillis", 50, 60_000, 1_000L);
+        Objective objective = root.choice("objective", Objective.class, Objective.ATTAINMENT);
+        boolean baseline = root.flag("baseline", false);
+        ServerLimits serverLimits = toLimits(limits);
+        String token = operator.text("token", null);
+        long notReadyMillis = shutdown.number("notReadyMillis", 0, 60_000, 1_000L);
+        long drainMillis = shutdown.number("drainMillis", 0, 600_000, 120_000L);
+        long seed = root.number("seed", Long.MIN_VALUE, Long.MAX_VALUE, System.nanoTime());
+        String configuration = root.text("configuration", "configuration.yaml");
+        List.of(instance, platform, operator, shutdown, limits).forEach(SettingsNode::end);
+        return new EntryOptions(
+                name,
+                zone,
+                host,
+                port,
+                address,
+                directoryMillis,
+                objective,
+                baseline,
+                serverLimits,
+                token,
+                notReadyMillis,
+                drainMillis,
+                seed,
+                ConfigurationFile.read(file.resolveSibling(configuration)));
     }
 
     private static ServerLimits toLimits(SettingsNode node) {
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/settings/SettingsFile.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/SettingsFile.java
@@ -43,6 +43,18 @@
         return value;
     }
 
+    /**
+     * Tells whether a file has a top key.
+     *
+     * @param file the file, not null
+     * @param key the key, not null
+     * @return true if it has
+     * @throws WharfException if the file can't be read
+     */
+    static boolean hasKey(Path file, String key) {
+        return parse(file).has(key);
+    }
+
     private static JsonNode parse(Path file) {
         try {
             return MAPPER.readTree(Files.readString(file));
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/settings/SettingsNode.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/SettingsNode.java
@@ -10,7 +10,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
+import org.fuchsiawharf.core.error.ArgumentException;
 import org.fuchsiawharf.core.error.WharfException;
+import org.fuchsiawharf.core.util.Arguments;
+import org.fuchsiawharf.http.client.HttpTarget;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,6 +25,7 @@
  */
 final class SettingsNode {
     private static final String REFUSED_NAME = "refused";
+    private static final HttpTarget REFUSED_ADDRESS = new HttpTarget("127.0.0.1", 1);
 
     private final JsonNode node;
     private final String path;
@@ -67,6 +71,38 @@
         return value.asText();
     }
 
+    /**
+     * Reads a required name.
+     *
+     * @param key the key, not null
+     * @return the name, well-formed, never null
+     */
+    String name(String key) {
+        return checked(key, text(key, null), REFUSED_NAME, text -> Arguments.name(text, pathOf(key)));
+    }
+
+    /**
+     * Reads a required address.
+     *
+     * @param key the key, not null
+     * @return the address, never null
+     */
+    HttpTarget address(String key) {
+        return checked(key, text(key, null), REFUSED_ADDRESS, HttpTarget::parse);
+    }
+
+    private <T> T checked(String key, String text, T refused, Function<String, T> parse) {
+        if (!has(key)) {
+            return refused;
+        }
+        try {
+            return parse.apply(text);
+        } catch (ArgumentException e) {
+            errors.add(pathOf(key), e.getValue(), e.getBounds());
+            return refused;
+        }
+    }
+
     /**
      * Reads a whole number.
      *
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/settings/StandinSettings.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/StandinSettings.java
@@ -87,7 +87,7 @@
                 ? ServiceProfile.engine("absent", 1)
                 : ServiceProfile.pool("absent", 1, 5_000);
         return new ServiceProfile(
-                node.text("name", null),
+                node.name("name"),
                 kind,
                 (int) node.number("workers", 1, 1_000, null),
                 (int) node.number("slots", 1, 1_000, (long) absent.slots()),
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/settings/WorkloadSettings.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/WorkloadSettings.java
@@ -46,9 +46,7 @@
             }
         }
         return new WorkloadSettings(
-                root.texts("targets").stream().map(HttpTarget::parse).toList(),
-                HttpTarget.parse(root.text("ledger", null)),
-                templates);
+                root.texts("targets").stream().map(HttpTarget::parse).toList(), root.address("ledger"), templates);
     }
 
     private static RequestTemplate toTemplate(SettingsNode node) {
--- a/standin/src/main/java/org/fuchsiawharf/standin/Ledger.java
+++ b/standin/src/main/java/org/fuchsiawharf/standin/Ledger.java
@@ -9,6 +9,8 @@
  * <p>Thread-safe.
  */
 public final class Ledger {
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final List<Run> runs = new ArrayList<>();
 
     /** Creates an empty ledger. */
@@ -27,8 +29,9 @@
         private final String nonce;
         private final boolean crossed;
         private final boolean generates;
+        private final long beganNanos = System.nanoTime();
         private volatile double units;
-        private volatile boolean completed;
+        private volatile long endedNanos;
 
         private Run(String endpoint, ServiceProfile profile, StageTask task) {
             this.endpoint = endpoint;
@@ -51,7 +54,7 @@
 
         /** Notes that the run came to its end. */
         void complete() {
-            completed = true;
+            endedNanos = System.nanoTime();
         }
 
         /**
@@ -60,7 +63,11 @@
          * @return the value, never null
          */
         public View toView() {
-            return new View(endpoint, service, stage, attempt, nonce, crossed, generates, units, completed);
+            return new View(endpoint, service, stage, attempt, nonce, crossed, generates, units, toMillis());
+        }
+
+        private double toMillis() {
+            return endedNanos == 0 ? -1 : (endedNanos - beganNanos) / NANOS_PER_MILLI;
         }
     }
 
@@ -77,7 +84,7 @@
      * @param crossed whether the previous stage's answer bore another mark than the body
      * @param generates whether the units are tokens
      * @param units work done: tokens of an engine, calls of a pool
-     * @param completed whether the run came to its end
+     * @param millis the run's time, in milliseconds, -1 if it did not come to its end
      */
     public record View(
             String endpoint,
@@ -88,7 +95,7 @@
             boolean crossed,
             boolean generates,
             double units,
-            boolean completed) {}
+            double millis) {}
 
     /**
      * Every run of a ledger.
--- a/standin/src/main/java/org/fuchsiawharf/standin/StandinFleet.java
+++ b/standin/src/main/java/org/fuchsiawharf/standin/StandinFleet.java
@@ -43,7 +43,7 @@
             }
         }
         directory = new DirectoryStandin(runtime, directoryPort, DIRECTORY_LAG_MILLIS);
-        directory.setNow(listEndpoints(), List.of());
+        directory.setNow(getEndpoints(), List.of());
     }
 
     /**
@@ -87,7 +87,7 @@
     public void kill(String name) {
         EndpointStandin victim = getEndpoint(name);
         victim.close();
-        List<Endpoint> live = new ArrayList<>(listEndpoints());
+        List<Endpoint> live = new ArrayList<>(getEndpoints());
         live.remove(victim.getEndpoint());
         directory.setLate(live, List.of());
     }
@@ -99,7 +99,12 @@
         runtime.close();
     }
 
-    private List<Endpoint> listEndpoints() {
+    /**
+     * Gets every endpoint, killed ones included.
+     *
+     * @return the endpoints, never null
+     */
+    public List<Endpoint> getEndpoints() {
         return endpoints.values().stream().map(EndpointStandin::getEndpoint).toList();
     }
 }
