Add experiments that run policies and baseline on one schedule

Cause: nothing showed what the policies are worth.

Change: the command experiment with steady, slow-endpoint, dead-endpoint, burst and rolling-restart: real instances and stand-ins over loopback in one JVM, a JSON summary and an HTML report with plots.

--- a/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
@@ -20,6 +20,7 @@
 import org.fuchsiawharf.daemon.cli.Command;
 import org.fuchsiawharf.daemon.cli.DemoCommand;
 import org.fuchsiawharf.daemon.cli.EntryCommand;
+import org.fuchsiawharf.daemon.cli.ExperimentCommand;
 import org.fuchsiawharf.daemon.cli.LoadCommand;
 import org.fuchsiawharf.daemon.cli.StandinCommand;
 import org.fuchsiawharf.daemon.cli.StatusCommand;
@@ -34,6 +35,7 @@
             new EntryCommand(),
             new StandinCommand(),
             new DemoCommand(),
+            new ExperimentCommand(),
             new LoadCommand(),
             new CheckSettingsCommand(),
             new StatusCommand());
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/EmbeddedCluster.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/EmbeddedCluster.java
@@ -9,6 +9,7 @@
 import org.fuchsiawharf.http.client.HttpClient;
 import org.fuchsiawharf.http.client.HttpTarget;
 import org.fuchsiawharf.http.server.ServerLimits;
+import org.fuchsiawharf.standin.ServiceProfile;
 import org.fuchsiawharf.standin.StandinFleet;
 
 /**
@@ -64,6 +65,21 @@
         return fleet;
     }
 
+    /**
+     * Gets the name of one of the model engines.
+     *
+     * @param index its place among the engines, from 0
+     * @return the name, never null
+     */
+    public String getEngine(int index) {
+        for (ServiceProfile profile : deployment.standins().profiles()) {
+            if (profile.kind() == ServiceProfile.Kind.ENGINE) {
+                return profile.service() + "-" + (index + 1);
+            }
+        }
+        throw new IllegalStateException("deployment " + deployment.name() + " has no engines");
+    }
+
     /**
      * Gets the entry instances.
      *
