Bound queues by delay, at the endpoints and in the instance

Change: the limit on open calls falls when answers begin late (the delay to the first token) and grows while they begin at once; the expected wait counts only what goes ahead by priority, requests in earlier stages, and at least as long as the oldest of the same priority waits; a queued request that is given up on is refused at once.

--- a/core/src/main/java/org/fuchsiawharf/core/limits/AdmissionPolicy.java
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/AdmissionPolicy.java
@@ -25,6 +25,13 @@
      */
     boolean isWorthContinuing(long remainingNanos, double workNanos);
 
+    /**
+     * Gets how long a request waits in a queue before it is refused.
+     *
+     * @return nanoseconds
+     */
+    double getMaxQueueNanos();
+
     /**
      * Gets the greatest number of requests that wait for one service.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/limits/AdmitAll.java
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/AdmitAll.java
@@ -18,6 +18,11 @@
         return true;
     }
 
+    @Override
+    public double getMaxQueueNanos() {
+        return Double.MAX_VALUE;
+    }
+
     @Override
     public int getQueueCapacity() {
         return QUEUE_CAPACITY;
--- a/core/src/main/java/org/fuchsiawharf/core/limits/ConcurrencyLimit.java
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/ConcurrencyLimit.java
@@ -17,12 +17,19 @@
     boolean hasRoom(int inFlight, double occupancy, int slots);
 
     /**
-     * Learns from a call that ended well.
+     * Learns from a call that began to be answered.
      *
      * @param inFlight the open calls, that one included
+     * @param delayNanos the time until its answer, or until the first token of a stream
+     * @param nowNanos the time
      */
-    void onSuccess(int inFlight);
+    void onAnswer(int inFlight, long delayNanos, long nowNanos);
 
-    /** Learns from a call that was refused or timed out. */
-    void onPushback();
+    /**
+     * Learns from a call that was refused or timed out.
+     *
+     * @param inFlight the open calls, that one included
+     * @param nowNanos the time
+     */
+    void onPushback(int inFlight, long nowNanos);
 }
--- a/core/src/main/java/org/fuchsiawharf/core/limits/DeadlineAdmission.java
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/DeadlineAdmission.java
@@ -8,6 +8,7 @@
  */
 public final class DeadlineAdmission implements AdmissionPolicy {
     private static final int QUEUE_CAPACITY = 256;
+    private static final double QUEUE_FACTOR = 2;
 
     private final double maxWaitNanos;
     private final double stopShare;
@@ -34,6 +35,11 @@
         return workNanos * stopShare <= remainingNanos;
     }
 
+    @Override
+    public double getMaxQueueNanos() {
+        return QUEUE_FACTOR * maxWaitNanos;
+    }
+
     @Override
     public int getQueueCapacity() {
         return QUEUE_CAPACITY;
--- a/core/src/main/java/org/fuchsiawharf/core/limits/NoConcurrencyLimit.java
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/NoConcurrencyLimit.java
@@ -12,8 +12,8 @@
     }
 
     @Override
-    public void onSuccess(int inFlight) {}
+    public void onAnswer(int inFlight, long delayNanos, long nowNanos) {}
 
     @Override
-    public void onPushback() {}
+    public void onPushback(int inFlight, long nowNanos) {}
 }
--- a/core/src/main/java/org/fuchsiawharf/core/limits/StageQueue.java
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/StageQueue.java
@@ -46,6 +46,40 @@
         return size;
     }
 
+    /**
+     * Counts the entries that go before a new one of a priority.
+     *
+     * @param priority the priority, not null
+     * @return the entries of that priority and of higher ones
+     */
+    public int countAhead(Priority priority) {
+        int ahead = 0;
+        for (Map.Entry<Priority, Map<String, Lane<T>>> byPriority : lanes.entrySet()) {
+            if (byPriority.getKey().compareTo(priority) <= 0) {
+                for (Lane<T> lane : byPriority.getValue().values()) {
+                    ahead += lane.entries.size();
+                }
+            }
+        }
+        return ahead;
+    }
+
+    /**
+     * Gets since when the longest waiting entry of a priority waits.
+     *
+     * @param priority the priority, not null
+     * @return nanoseconds, {@link Long#MAX_VALUE} if none waits
+     */
+    public long getOldestNanos(Priority priority) {
+        long oldest = Long.MAX_VALUE;
+        for (Lane<T> lane : lanesOf(priority).values()) {
+            for (Entry<T> entry : lane.entries) {
+                oldest = Math.min(oldest, entry.sinceNanos());
+            }
+        }
+        return oldest;
+    }
+
     /**
      * Adds an entry.
      *
@@ -53,15 +87,16 @@
      * @param workspace whose share it uses, not null
      * @param priority its priority, not null
      * @param deadlineNanos its deadline
+     * @param sinceNanos since when it waits
      * @return false if the queue is full
      */
-    public boolean offer(T value, Workspace workspace, Priority priority, long deadlineNanos) {
+    public boolean offer(T value, Workspace workspace, Priority priority, long deadlineNanos, long sinceNanos) {
         if (size >= capacity) {
             return false;
         }
         Lane<T> lane = lanesOf(priority).computeIfAbsent(workspace.name(), n -> new Lane<>(virtualTime));
         lane.weight = workspace.weight();
-        lane.entries.add(new Entry<>(value, deadlineNanos));
+        lane.entries.add(new Entry<>(value, deadlineNanos, sinceNanos));
         size++;
         return true;
     }
@@ -147,7 +182,7 @@
         return entry.value();
     }
 
-    private record Entry<T>(T value, long deadlineNanos) {}
+    private record Entry<T>(T value, long deadlineNanos, long sinceNanos) {}
 
     private static final class Lane<T> {
         private final PriorityQueue<Entry<T>> entries =
--- a/core/src/main/java/org/fuchsiawharf/core/request/ActiveRequest.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/ActiveRequest.java
@@ -39,6 +39,7 @@
     boolean effectPossible;
     boolean unsafeEffect;
     boolean queued;
+    long queuedNanos;
     boolean done;
 
     @Nullable
--- a/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
@@ -169,10 +169,11 @@
 
     private void admit(ActiveRequest active) {
         requests.add(active);
+        queues.onAdmitted(active);
         idempotency.onStarted(active);
         long now = timers.now();
         double work = estimates.getWork(active.pipeline(), 0, ADMIT_DEVIATIONS, now);
-        double wait = queues.getWaitNanos(active.pipeline());
+        double wait = queues.getWaitNanos(active.pipeline(), active.request.priority(), now);
         if (!policies.admission().isAdmitted(active.remainingNanos(now), work, wait)) {
             String detail = "expected wait " + (long) wait / NANOS_PER_MILLI + " ms and work "
                     + (long) work / NANOS_PER_MILLI + " ms";
@@ -307,6 +308,7 @@
         runner.cancelOpen(active);
         log.record(toEntry(active, result));
         if (admitted) {
+            queues.onEnded(active);
             workspaces.release(active.request.workspace());
             onFreed(active);
         }
--- a/core/src/main/java/org/fuchsiawharf/core/request/StageRunner.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/StageRunner.java
@@ -130,10 +130,21 @@
     void tick() {
         for (String service : List.copyOf(queues.getAll().keySet())) {
             policies.health().allowProbes(table.getPool(service), timers.now());
+            refuseOverdue(service);
             pump(service);
         }
     }
 
+    // A request that would not be served in time hears so now, not at its deadline.
+    private void refuseOverdue(String service) {
+        for (ActiveRequest active : queues.get(service).queue().toList()) {
+            double waited = timers.now() - active.queuedNanos;
+            if (waited > policies.admission().getMaxQueueNanos() || !isWorthContinuing(active)) {
+                end.refuse(active, ErrorCode.OVERLOADED, "waited too long for service " + service);
+            }
+        }
+    }
+
     private boolean isWorthContinuing(ActiveRequest active) {
         long now = timers.now();
         double work = estimates.getWork(active.pipeline(), active.stage, CONTINUE_DEVIATIONS, now);
@@ -147,12 +158,18 @@
     private void enqueue(ActiveRequest active) {
         StageQueues.Waiting waiting = queues.get(active.stageSpec().service());
         counters.add(Counters.Name.QUEUED);
+        active.queuedNanos = timers.now();
         requeue(active, waiting);
     }
 
     private void requeue(ActiveRequest active, StageQueues.Waiting waiting) {
         active.queued = waiting.queue()
-                .offer(active, active.request.workspace(), active.request.priority(), active.request.deadlineNanos());
+                .offer(
+                        active,
+                        active.request.workspace(),
+                        active.request.priority(),
+                        active.request.deadlineNanos(),
+                        active.queuedNanos);
         if (!active.queued) {
             String service = active.stageSpec().service();
             end.refuse(active, ErrorCode.OVERLOADED, "the queue of service " + service + " is full");
@@ -301,6 +318,8 @@
         if (attempt.tokenSeen) {
             ServicePool pool = table.getPool(attempt.stage.service());
             ejected = policies.health().onToken(pool, attempt.state, now - attempt.progressNanos, now);
+        } else {
+            attempt.state.getLimit().onAnswer(attempt.state.getInFlight(), now - attempt.sentNanos, now);
         }
         attempt.tokenSeen = true;
         attempt.progressNanos = now;
@@ -330,7 +349,9 @@
             pool.getUsual().add(attempt.state.onCompleted(nanos));
             estimates.add(active.pipeline(), active.stage, nanos, timers.now());
         }
-        attempt.state.getLimit().onSuccess(attempt.state.getInFlight());
+        if (!attempt.tokenSeen) {
+            attempt.state.getLimit().onAnswer(attempt.state.getInFlight(), nanos, timers.now());
+        }
         release(active, attempt, "ok");
         boolean ejected = policies.health()
                 .onSuccess(
@@ -349,6 +370,7 @@
             end.answer(active, answer);
         } else {
             active.advance(answer);
+            queues.onStageReached(active);
             start(active);
         }
     }
@@ -365,8 +387,8 @@
      */
     void fail(ActiveRequest active, Attempt attempt, CallFailure failure, String detail) {
         String service = attempt.stage.service();
-        release(active, attempt, failure.name().toLowerCase(java.util.Locale.ROOT));
         boolean ejected = learn(attempt, failure);
+        release(active, attempt, failure.name().toLowerCase(java.util.Locale.ROOT));
         if (failure.isEffectPossible()) {
             active.effectPossible = true;
         }
@@ -384,7 +406,7 @@
             attempt.state.onLeaving();
         }
         if (failure == CallFailure.REFUSED || failure == CallFailure.TIMEOUT) {
-            attempt.state.getLimit().onPushback();
+            attempt.state.getLimit().onPushback(attempt.state.getInFlight(), timers.now());
         }
         ServicePool pool = table.getPool(attempt.stage.service());
         return policies.health().onFailure(pool, attempt.state, failure, timers.now());
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
@@ -94,7 +94,8 @@
 
     private double score(
             ServicePool pool, EndpointState state, @Nullable EndpointState owner, long prefixKey, long nowNanos) {
-        double score = state.getExpectedNanos(pool.getUsual().getMean(), pool.getUsualOthers()) / slowStartShare(state, nowNanos);
+        double score = state.getExpectedNanos(pool.getUsual().getMean(), pool.getUsualOthers())
+                / slowStartShare(state, nowNanos);
         if (!state.isOwnZone()) {
             score += crossingNanos;
         }
