Tell endpoints at once that a call is cancelled; test every bad input over HTTP

Cause: a test of a caller that leaves found its engine working on for 10 s. The HTTP client's close drains the response for up to 10 s before the connection closes. Also found: a response that ends with its connection was taken for a broken one, and a connection whose request was not written whole went back to the pool.

Change: a cancelled or failed call gives its connection up and closes it hard; the end of a body is read before a close counts; half-written connections are dropped. TestEntryInstance covers each bad input and each endpoint fault over real sockets, and that nothing stays behind.

Conclusion: cancelled work no longer holds an engine's slots.

--- a/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
@@ -22,6 +22,7 @@
 import org.fuchsiawharf.daemon.cli.EntryCommand;
 import org.fuchsiawharf.daemon.cli.ExperimentCommand;
 import org.fuchsiawharf.daemon.cli.LoadCommand;
+import org.fuchsiawharf.daemon.cli.OverheadCommand;
 import org.fuchsiawharf.daemon.cli.StandinCommand;
 import org.fuchsiawharf.daemon.cli.StatusCommand;
 
@@ -37,6 +38,7 @@
             new DemoCommand(),
             new ExperimentCommand(),
             new LoadCommand(),
+            new OverheadCommand(),
             new CheckSettingsCommand(),
             new StatusCommand());
     private static final String HELP = "help";
--- /dev/null
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/cli/OverheadCommand.java
@@ -0,0 +1,111 @@
+package org.fuchsiawharf.daemon.cli;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.core.model.Objective;
+import org.fuchsiawharf.core.model.Pipeline;
+import org.fuchsiawharf.core.model.Priority;
+import org.fuchsiawharf.core.model.ServingConfig;
+import org.fuchsiawharf.core.model.StageSpec;
+import org.fuchsiawharf.core.model.Workspace;
+import org.fuchsiawharf.daemon.experiment.Deployment;
+import org.fuchsiawharf.daemon.experiment.EmbeddedCluster;
+import org.fuchsiawharf.daemon.load.OverheadProbe;
+import org.fuchsiawharf.daemon.settings.StandinSettings;
+import org.fuchsiawharf.http.client.HttpTarget;
+import org.fuchsiawharf.standin.ServiceProfile;
+
+/**
+ * Measures the latency that one instance adds to four stages that take no time themselves.
+ *
+ * <p>Holds no state.
+ */
+public final class OverheadCommand implements Command {
+    private static final List<String> STAGES = List.of("encode", "retrieve", "rerank", "generate");
+    private static final String RATE = "rate";
+    private static final String SECONDS = "seconds";
+
+    @Override
+    public String getName() {
+        return "overhead";
+    }
+
+    @Override
+    public String getSummary() {
+        return "measures the latency that one instance adds to four stages called directly";
+    }
+
+    @Override
+    public void declare(OptionParser parser) {
+        parser.accepts(RATE, "requests a second")
+                .withRequiredArg()
+                .ofType(Double.class)
+                .defaultsTo(200.0);
+        parser.accepts(SECONDS, "length")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(15);
+    }
+
+    @Override
+    public int run(OptionSet options, PrintStream out) {
+        try (EmbeddedCluster cluster = new EmbeddedCluster(deployment(), 1, false, 1)) {
+            List<Endpoint> stages = new ArrayList<>();
+            for (String stage : STAGES) {
+                stages.add(cluster.getFleet().getEndpoint(stage + "-1").getEndpoint());
+            }
+            HttpTarget entry =
+                    new HttpTarget("127.0.0.1", cluster.getInstances().get(0).getPort());
+            OverheadProbe probe =
+                    new OverheadProbe(cluster.getCallers(), entry, "/v1/pipelines/chain/requests", stages);
+            double rate = (Double) options.valueOf(RATE);
+            probe.run(rate, (Integer) options.valueOf(SECONDS));
+            OverheadProbe.Result result = probe.run(rate, (Integer) options.valueOf(SECONDS));
+            print("through the instance", result.through(), out);
+            print("directly", result.direct(), out);
+            out.printf(
+                    Locale.ROOT,
+                    "added: p50 %d us, p99 %d us%n",
+                    result.through().p50() - result.direct().p50(),
+                    result.through().p99() - result.direct().p99());
+        }
+        return OK;
+    }
+
+    private static void print(String name, OverheadProbe.Quantiles quantiles, PrintStream out) {
+        out.printf(
+                Locale.ROOT,
+                "%s: %d requests, p50 %d us, p99 %d us%n",
+                name,
+                quantiles.count(),
+                quantiles.p50(),
+                quantiles.p99());
+    }
+
+    private static Deployment deployment() {
+        List<StageSpec> stages = STAGES.stream()
+                .map(stage -> new StageSpec(stage, stage, true, false))
+                .toList();
+        ServingConfig config = new ServingConfig(
+                1,
+                Map.of("chain", new Pipeline("chain", stages)),
+                Map.of(),
+                Map.of("probe", new Workspace("probe", 1, 10_000, Priority.NORMAL)));
+        List<ServiceProfile> profiles = STAGES.stream()
+                .map(stage -> new ServiceProfile(stage, ServiceProfile.Kind.POOL, 1, 1_000, 1_000, 0, 0, 0, 0))
+                .toList();
+        return new Deployment(
+                "overhead",
+                Objective.ATTAINMENT,
+                config,
+                new StandinSettings(List.of("zone"), 0, 0, 1, profiles),
+                List.of());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/fuchsiawharf/daemon/instance/TestEntryInstance.java
@@ -0,0 +1,289 @@
+package org.fuchsiawharf.daemon.instance;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.fuchsiawharf.core.model.Objective;
+import org.fuchsiawharf.core.model.Pipeline;
+import org.fuchsiawharf.core.model.Priority;
+import org.fuchsiawharf.core.model.ServingConfig;
+import org.fuchsiawharf.core.model.StageSpec;
+import org.fuchsiawharf.core.model.Workspace;
+import org.fuchsiawharf.daemon.experiment.Deployment;
+import org.fuchsiawharf.daemon.experiment.EmbeddedCluster;
+import org.fuchsiawharf.daemon.settings.StandinSettings;
+import org.fuchsiawharf.http.JsonText;
+import org.fuchsiawharf.http.WireHeaders;
+import org.fuchsiawharf.http.client.BodyCollector;
+import org.fuchsiawharf.http.client.HttpCall;
+import org.fuchsiawharf.http.client.HttpTarget;
+import org.fuchsiawharf.standin.Faults;
+import org.fuchsiawharf.standin.Ledger;
+import org.fuchsiawharf.standin.ServiceProfile;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.either;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/** Real HTTP between a caller, one instance and two endpoints, for each bad input and failure. */
+class TestEntryInstance {
+    private static final String FEEDBACK = "/v1/pipelines/feedback/requests";
+    private static final String CHARGE = "/v1/services/billing/charge";
+    private static final HttpString NONE = new HttpString("X-None");
+    private static EmbeddedCluster cluster;
+
+    private int nextNonce;
+
+    @BeforeAll
+    static void start() {
+        List<StageSpec> stages =
+                List.of(new StageSpec("encode", "encoder", true, false), new StageSpec("generate", "llm", true, true));
+        Pipeline charge = new Pipeline("billing", List.of(new StageSpec("charge", "billing", false, false)));
+        ServingConfig config = new ServingConfig(
+                1,
+                Map.of("feedback", new Pipeline("feedback", stages)),
+                Map.of("billing/charge", charge),
+                Map.of("learners", new Workspace("learners", 1, 100, Priority.NORMAL)));
+        List<ServiceProfile> profiles = List.of(
+                ServiceProfile.pool("encoder", 2, 500),
+                new ServiceProfile("llm", ServiceProfile.Kind.ENGINE, 2, 16, 32, 1_000, 0, 0, 8),
+                ServiceProfile.pool("billing", 1, 500));
+        Deployment deployment = new Deployment(
+                "test", Objective.ATTAINMENT, config, new StandinSettings(List.of("a"), 0, 0, 1, profiles), List.of());
+        cluster = new EmbeddedCluster(deployment, 1, false, 1);
+    }
+
+    @AfterAll
+    static void stop() {
+        cluster.close();
+    }
+
+    @AfterEach
+    void heal() throws InterruptedException {
+        for (String name : List.of("encoder-1", "encoder-2", "llm-1", "llm-2", "billing-1")) {
+            cluster.getFleet().getEndpoint(name).getFaults().setAnswer(Faults.Answer.NORMAL);
+        }
+        awaitIdle();
+    }
+
+    // -----------------------------------------------------------------------
+
+    @Test
+    void answersAPipelineWhole() {
+        JsonNode answer = post(FEEDBACK, Map.of(), body(5)).json();
+        assertThat(answer.path("outcome").asText(), is("answered"));
+        assertThat(answer.path("answer").path("tokens").asInt(), is(5));
+    }
+
+    @Test
+    void streamsTokensWithIdsAndALastEvent() {
+        String events = post(FEEDBACK, Map.of(Headers.ACCEPT, WireHeaders.EVENT_STREAM), body(3))
+                .text();
+        for (String id : List.of("id:0", "id:1", "id:2")) {
+            assertThat(events, containsString(id));
+        }
+        assertThat(events, containsString("event:done"));
+    }
+
+    @Test
+    void refusesAnUnknownPipeline() {
+        post("/v1/pipelines/none/requests", Map.of(), "{}").assertProblem(404, "unknown_pipeline", "not_run");
+    }
+
+    @Test
+    void refusesAnUnknownServiceCall() {
+        post("/v1/services/billing/none", Map.of(), "{}").assertProblem(404, "unknown_service", "not_run");
+    }
+
+    @Test
+    void refusesAnUnknownWorkspace() {
+        post(FEEDBACK, Map.of(WireHeaders.WORKSPACE, "none"), "{}").assertProblem(403, "unknown_workspace", "not_run");
+    }
+
+    @Test
+    void refusesMalformedJson() {
+        post(FEEDBACK, Map.of(), "{\"a\":").assertProblem(400, "malformed_body", "not_run");
+        post(FEEDBACK, Map.of(), "{} {}").assertProblem(400, "malformed_body", "not_run");
+    }
+
+    @Test
+    void refusesAnOversizedBody() {
+        String large = "\"" + "x".repeat(2 << 20) + "\"";
+        post(FEEDBACK, Map.of(), large).assertProblem(413, "body_too_large", "not_run");
+    }
+
+    @Test
+    void refusesMissingAbsurdAndPastDeadlines() {
+        post(FEEDBACK, Map.of(WireHeaders.DEADLINE_MS, ""), "{}").assertProblem(400, "invalid_deadline", "not_run");
+        post(FEEDBACK, Map.of(WireHeaders.DEADLINE_MS, "soon"), "{}").assertProblem(400, "invalid_deadline", "not_run");
+        post(FEEDBACK, Map.of(WireHeaders.DEADLINE_MS, "99999999999"), "{}")
+                .assertProblem(400, "invalid_deadline", "not_run");
+        post(FEEDBACK, Map.of(WireHeaders.DEADLINE_MS, "-1"), "{}").assertProblem(504, "deadline_passed", "not_run");
+    }
+
+    @Test
+    void refusesAnUnknownPriority() {
+        post(FEEDBACK, Map.of(WireHeaders.PRIORITY, "urgent"), "{}").assertProblem(400, "invalid_argument", "not_run");
+    }
+
+    @Test
+    void needsAnIdempotencyKeyWhereACallMayNotBeRepeated() {
+        post(CHARGE, Map.of(), "{}").assertProblem(400, "idempotency_key_missing", "not_run");
+    }
+
+    @Test
+    void keepsCallersFromOperatorsRoutes() {
+        BodyCollector collector = new BodyCollector();
+        cluster.getCallers().get(entry(), "/v1/status", Map.of(Headers.AUTHORIZATION, "Bearer wrong"), collector);
+        assertThat(collector.getFuture().join().status(), is(401));
+    }
+
+    // -----------------------------------------------------------------------
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Faults.Answer.class,
+            names = {"NORMAL"},
+            mode = EnumSource.Mode.EXCLUDE)
+    void answersARepeatableRequestThoughOneOfTwoEndpointsIsFaulty(Faults.Answer fault) {
+        cluster.getFleet().getEndpoint("encoder-1").getFaults().setAnswer(fault);
+        cluster.getFleet().getEndpoint("llm-1").getFaults().setAnswer(fault);
+        for (int i = 0; i < 3; i++) {
+            JsonNode answer = post(FEEDBACK, Map.of(), body(5)).json();
+            assertThat(answer.toString(), answer.path("outcome").asText(), is("answered"));
+            assertThat(answer.path("answer").path("tokens").asInt(), is(5));
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Faults.Answer.class,
+            names = {"GARBAGE", "WRONG_ATTEMPT", "NEVER", "CLOSE"})
+    void saysUnknownAndRunsOnceWhenANonRepeatableCallHasNoGoodAnswer(Faults.Answer fault) {
+        cluster.getFleet().getEndpoint("billing-1").getFaults().setAnswer(fault);
+        String nonce = nonce();
+        Map<HttpString, String> headers = Map.of(WireHeaders.IDEMPOTENCY_KEY, nonce, WireHeaders.DEADLINE_MS, "600");
+        JsonNode problem =
+                post(CHARGE, headers, "{\"nonce\":\"" + nonce + "\"}").json();
+        assertThat(problem.path("outcome").asText(), is("unknown"));
+        assertThat(runsOf(nonce), is(1L));
+    }
+
+    @Test
+    void cancelsTheWorkOfACallerThatLeaves() throws InterruptedException {
+        String nonce = nonce();
+        BodyCollector collector = new BodyCollector();
+        HttpCall call = cluster.getCallers()
+                .post(
+                        entry(),
+                        FEEDBACK,
+                        headers(Map.of(WireHeaders.DEADLINE_MS, "60000")),
+                        ("{\"nonce\":\"" + nonce + "\",\"tokens\":20000}").getBytes(StandardCharsets.UTF_8),
+                        true,
+                        collector);
+        for (int i = 0; i < 500 && runsOf(nonce) < 2; i++) {
+            Thread.sleep(10);
+        }
+        call.cancel();
+        awaitIdle();
+        // The engine would need 20 s for the rest.
+        assertThat(unitsOf(nonce), is(lessThanOrEqualTo(5_000.0)));
+    }
+
+    @Test
+    void survivesManyCallersThatSendNonsense() {
+        for (String path : List.of("/", "/v1/pipelines/feedback", "/v1/pipelines//requests", "/v1/status/../x")) {
+            Answer answer = post(path, Map.of(NONE, "\u0001"), "\u0000");
+            assertThat(answer.status(), either(is(404)).or(is(400)).or(is(405)));
+        }
+        assertThat(post(FEEDBACK, Map.of(), body(2)).status(), is(200));
+    }
+
+    // -----------------------------------------------------------------------
+
+    private record Answer(int status, String text) {
+        JsonNode json() {
+            return JsonText.readTree(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void assertProblem(int expectedStatus, String code, String outcome) {
+            assertThat(text, status, is(expectedStatus));
+            assertThat(json().path("code").asText(), is(code));
+            assertThat(json().path("outcome").asText(), is(outcome));
+        }
+    }
+
+    private static HttpTarget entry() {
+        return new HttpTarget("127.0.0.1", cluster.getInstances().get(0).getPort());
+    }
+
+    private static Map<HttpString, String> headers(Map<HttpString, String> changed) {
+        Map<HttpString, String> headers = new HashMap<>();
+        headers.put(Headers.CONTENT_TYPE, WireHeaders.JSON);
+        headers.put(WireHeaders.WORKSPACE, "learners");
+        headers.put(WireHeaders.DEADLINE_MS, "8000");
+        headers.putAll(changed);
+        headers.values().removeIf(String::isEmpty);
+        return headers;
+    }
+
+    private static Answer post(String path, Map<HttpString, String> changed, String body) {
+        BodyCollector collector = new BodyCollector();
+        cluster.getCallers()
+                .post(entry(), path, headers(changed), body.getBytes(StandardCharsets.UTF_8), true, collector);
+        BodyCollector.Response response =
+                collector.getFuture().orTimeout(30, TimeUnit.SECONDS).join();
+        return new Answer(response.status(), new String(response.body(), StandardCharsets.UTF_8));
+    }
+
+    private String nonce() {
+        return "n" + System.identityHashCode(this) + "-" + nextNonce++;
+    }
+
+    private String body(int tokens) {
+        return "{\"nonce\":\"" + nonce() + "\",\"tokens\":" + tokens + "}";
+    }
+
+    private static long runsOf(String nonce) {
+        return cluster.getFleet().getLedger().toPage().runs().stream()
+                .filter(run -> run.nonce().equals(nonce))
+                .count();
+    }
+
+    private static double unitsOf(String nonce) {
+        return cluster.getFleet().getLedger().toPage().runs().stream()
+                .filter(run -> run.nonce().equals(nonce))
+                .mapToDouble(Ledger.View::units)
+                .sum();
+    }
+
+    private static void awaitIdle() throws InterruptedException {
+        String status = "";
+        for (int i = 0; i < 500; i++) {
+            BodyCollector collector = new BodyCollector();
+            cluster.getCallers()
+                    .get(entry(), "/v1/status", Map.of(Headers.AUTHORIZATION, "Bearer embedded-token"), collector);
+            status = new String(
+                    collector.getFuture().orTimeout(30, TimeUnit.SECONDS).join().body(), StandardCharsets.UTF_8);
+            if (status.contains("\"active\":0,\"queued\":0") && !status.matches(".*\"inFlight\":[1-9].*")) {
+                return;
+            }
+            Thread.sleep(20);
+        }
+        throw new AssertionError("the instance holds on to requests: " + status);
+    }
+}
--- a/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
+++ b/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
@@ -33,6 +33,9 @@
 
     private @Nullable ClientConnection connection;
     private boolean sent;
+    private boolean written;
+    private boolean reading;
+    private boolean closed;
     private boolean ended;
 
     HttpCall(
@@ -55,7 +58,7 @@
         thread.execute(() -> {
             if (!ended) {
                 ended = true;
-                IoUtils.safeClose(connection);
+                abort();
             }
         });
     }
@@ -79,7 +82,7 @@
             IoUtils.safeClose(opened);
             return;
         }
-        opened.getCloseSetter().set(c -> fail(new ClosedChannelException()));
+        opened.getCloseSetter().set(c -> onClosed());
         request.getRequestHeaders().put(Headers.HOST, target.toString());
         if (body.length > 0) {
             request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
@@ -104,6 +107,7 @@
                 }
             }
             channel.shutdownWrites();
+            written = true;
             if (!channel.flush()) {
                 channel.getWriteSetter()
                         .set(ChannelListeners.flushingChannelListener(
@@ -128,7 +132,24 @@
         readBody(channel);
     }
 
+    // A response may end with the close of its connection, which is heard of before the end of the body is read.
     private void readBody(StreamSourceChannel channel) {
+        reading = true;
+        readAvailable(channel);
+        reading = false;
+        if (closed && !ended) {
+            fail(new ClosedChannelException());
+        }
+    }
+
+    private void onClosed() {
+        closed = true;
+        if (!reading) {
+            fail(new ClosedChannelException());
+        }
+    }
+
+    private void readAvailable(StreamSourceChannel channel) {
         try (PooledByteBuffer pooled = client.getBuffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
             while (!ended) {
@@ -153,8 +174,10 @@
     private void end() {
         ended = true;
         ClientConnection used = connection;
-        if (used != null && used.isOpen()) {
+        if (used != null && used.isOpen() && written) {
             client.putIdle(target, thread, used);
+        } else {
+            abort();
         }
         handler.onEnd();
     }
@@ -162,11 +185,24 @@
     private void fail(IOException e) {
         if (!ended) {
             ended = true;
-            IoUtils.safeClose(connection);
+            abort();
             handler.onFailure(sent, e);
         }
     }
 
+    // Closes at once. The client's own close first drains the response, for up to 10 s, which hides it from the peer.
+    private void abort() {
+        ClientConnection open = connection;
+        if (open == null) {
+            return;
+        }
+        try {
+            IoUtils.safeClose(open.performUpgrade());
+        } catch (IOException | IllegalStateException e) {
+            IoUtils.safeClose(open);
+        }
+    }
+
     private final class OnConnected implements ClientCallback<ClientConnection> {
         @Override
         public void completed(ClientConnection opened) {
--- a/http/src/main/java/org/fuchsiawharf/http/server/CallerHandler.java
+++ b/http/src/main/java/org/fuchsiawharf/http/server/CallerHandler.java
@@ -49,6 +49,7 @@
             return;
         }
         if (exchange.getRequestContentLength() > limits.maxBodyBytes()) {
+            exchange.setPersistent(false);
             Problem.sendNotRun(exchange, ErrorCode.BODY_TOO_LARGE, "the body is above " + limits.maxBodyBytes());
             return;
         }
--- a/http/src/main/java/org/fuchsiawharf/http/server/CloseWatch.java
+++ b/http/src/main/java/org/fuchsiawharf/http/server/CloseWatch.java
@@ -40,12 +40,19 @@
         ConnectionCloseHook.set(exchange, watch::left);
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
             watch.active = true;
-            connection.getOriginalSourceConduit().setReadReadyHandler(watch);
-            connection.getOriginalSourceConduit().resumeReads();
+            // The code that read the request suspends reads once this returns.
+            exchange.getIoThread().execute(() -> watch.resume(connection));
         }
         return watch;
     }
 
+    private void resume(HttpServerConnection connection) {
+        if (active) {
+            connection.getOriginalSourceConduit().setReadReadyHandler(this);
+            connection.getOriginalSourceConduit().resumeReads();
+        }
+    }
+
     /** Stops watching. */
     void stop() {
         if (active && exchange.getConnection() instanceof HttpServerConnection connection) {
