--- a/core/src/main/java/org/fuchsiawharf/core/request/ActiveRequest.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/ActiveRequest.java
@@ -78,12 +78,13 @@
      * Finds the open attempt that an answer names exactly.
      *
      * @param attemptId the id in the answer, not null
+     * @param rules the rules in force, not null
      * @return the attempt, null if it is not open
      */
     @Nullable
-    Attempt findOpen(AttemptId attemptId) {
+    Attempt findOpen(AttemptId attemptId, SafetyRules rules) {
         for (Attempt attempt : open) {
-            if (attempt.id.equals(attemptId)) {
+            if (rules.isSameAttempt(attempt.id, attemptId)) {
                 return attempt;
             }
         }
@@ -93,17 +94,15 @@
     /**
      * Decides the outcome of a request that ends now without an answer.
      *
+     * @param rules the rules in force, not null
      * @return not run only if it is proved; unknown if a non-repeatable call may have taken effect
      */
-    Outcome outcomeWithoutAnswer() {
+    Outcome outcomeWithoutAnswer(SafetyRules rules) {
         boolean unsafe = unsafeEffect;
         for (Attempt attempt : open) {
             unsafe |= !attempt.stage.repeatable();
         }
-        if (unsafe) {
-            return Outcome.UNKNOWN;
-        }
-        return effectPossible || !open.isEmpty() ? Outcome.FAILED : Outcome.NOT_RUN;
+        return rules.getOutcome(unsafe, effectPossible || !open.isEmpty());
     }
 
     // -----------------------------------------------------------------------
--- a/core/src/main/java/org/fuchsiawharf/core/request/DecisionState.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/DecisionState.java
@@ -15,6 +15,7 @@
  * @param estimates the stages' estimates
  * @param requests the requests without an outcome
  * @param counters the counters
+ * @param rules the safety rules
  */
 record DecisionState(
         String instance,
@@ -23,7 +24,8 @@
         StageQueues queues,
         StageEstimates estimates,
         ActiveRequests requests,
-        Counters counters) {
+        Counters counters,
+        SafetyRules rules) {
     /**
      * Creates the state of an instance that knows nothing yet.
      *
@@ -31,9 +33,10 @@
      * @param zone its availability zone, not null
      * @param policies its policies, not null
      * @param startNanos the time
+     * @param rules the safety rules, not null
      * @return the state, never null
      */
-    static DecisionState of(String instance, String zone, PolicySet policies, long startNanos) {
+    static DecisionState of(String instance, String zone, PolicySet policies, long startNanos, SafetyRules rules) {
         return new DecisionState(
                 instance,
                 new TimerService(startNanos),
@@ -41,6 +44,7 @@
                 new StageQueues(policies.admission().getQueueCapacity()),
                 new StageEstimates(),
                 new ActiveRequests(),
-                new Counters());
+                new Counters(),
+                rules);
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
@@ -52,6 +52,7 @@
     private final StageEstimates estimates;
     private final ActiveRequests requests;
     private final Counters counters;
+    private final SafetyRules rules;
     private final IdempotencyTable idempotency = new IdempotencyTable();
     private final WorkspaceCounts workspaces = new WorkspaceCounts();
     private final StageRunner runner;
@@ -78,19 +79,45 @@
             RequestLog log,
             Runnable onDrained,
             long startNanos) {
+        this(
+                instance,
+                policies,
+                port,
+                log,
+                onDrained,
+                DecisionState.of(instance, zone, policies, startNanos, SafetyRules.STRICT));
+    }
+
+    /**
+     * Creates the decisions upon a given state.
+     *
+     * @param instance the instance's name, not null
+     * @param policies the policies, not null
+     * @param port sends calls, not null
+     * @param log receives a record for each ended request, not null
+     * @param onDrained runs once when no request is left after a stop, not null
+     * @param state the state, not null
+     */
+    InstanceDecisions(
+            String instance,
+            PolicySet policies,
+            EndpointPort port,
+            RequestLog log,
+            Runnable onDrained,
+            DecisionState state) {
         this.instance = instance;
         this.policies = policies;
         this.log = log;
         this.onDrained = onDrained;
-        DecisionState state = DecisionState.of(instance, zone, policies, startNanos);
         this.timers = state.timers();
         this.table = state.table();
         this.queues = state.queues();
         this.estimates = state.estimates();
         this.requests = state.requests();
         this.counters = state.counters();
+        this.rules = state.rules();
         this.runner = new StageRunner(state, policies, port, new End());
-        timers.schedule(startNanos + TICK_NANOS, this::tick);
+        timers.schedule(timers.now() + TICK_NANOS, this::tick);
     }
 
     // -----------------------------------------------------------------------
@@ -223,7 +250,7 @@
 
     private void withAttempt(AttemptId id, java.util.function.BiConsumer<ActiveRequest, Attempt> action) {
         ActiveRequest active = id.instance().equals(instance) ? requests.get(id.request()) : null;
-        Attempt attempt = active == null ? null : active.findOpen(id);
+        Attempt attempt = active == null ? null : active.findOpen(id, rules);
         if (active == null || attempt == null) {
             counters.add(Counters.Name.STALE_ANSWERS_DROPPED);
             return;
@@ -254,8 +281,9 @@
     }
 
     private void onConfig(ServingConfig config) {
-        // Only a higher revision is ever adopted.
-        revision = Math.max(revision, config.revision());
+        if (rules.isNewer(revision, config.revision())) {
+            revision = config.revision();
+        }
     }
 
     private void onShutdown(boolean refuseQueued) {
@@ -281,7 +309,7 @@
     // -----------------------------------------------------------------------
 
     private void refuse(ActiveRequest active, ErrorCode code, String detail) {
-        Outcome outcome = active.outcomeWithoutAnswer();
+        Outcome outcome = active.outcomeWithoutAnswer(rules);
         long retryAfter = outcome == Outcome.UNKNOWN ? 0 : MIN_RETRY_AFTER_MILLIS;
         finish(active, RequestResult.refused(active.id, outcome, code, detail, retryAfter));
     }
--- a/core/src/main/java/org/fuchsiawharf/core/request/StageRunner.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/StageRunner.java
@@ -42,6 +42,7 @@
     private final StageEstimates estimates;
     private final StageQueues queues;
     private final Counters counters;
+    private final SafetyRules rules;
     private final RequestEnd end;
 
     /** Ends requests for the runner. */
@@ -74,6 +75,7 @@
         this.estimates = state.estimates();
         this.queues = state.queues();
         this.counters = state.counters();
+        this.rules = state.rules();
         this.end = end;
     }
 
@@ -291,7 +293,7 @@
      * @param event the token, not null
      */
     void onToken(ActiveRequest active, Attempt attempt, Event.TokenReceived event) {
-        if (event.offset() < active.tokens) {
+        if (rules.isRepeatedToken(active.tokens, event.offset())) {
             counters.add(Counters.Name.REPEATED_TOKENS_DROPPED);
             return;
         }
@@ -422,7 +424,7 @@
         if (mayHaveRun) {
             active.noteEffect(attempt.stage);
         }
-        if (mayHaveRun && !attempt.stage.repeatable()) {
+        if (!rules.mayCallAgain(attempt.stage, mayHaveRun)) {
             end.refuse(active, ErrorCode.STAGE_FAILED, describe(attempt, failure, detail));
             return;
         }
