Plan and confirm configuration, and claim keys, by compare-and-swap alone

Cause: configuration was fixed at start, and a keyed request repeated through another instance could run twice.

Change: the key-value service as a port whose results say what is known (done, conflict, unknown, unavailable); configuration as content-addressed shards under one root with the audit trail in it, so that one compare-and-swap is change and audit entry; plans stored by content, confirmed once by any instance, refused when a touched item moved, naming who moved it; claims of idempotency keys committed in groups, counted as made after a lost answer only if read back.

Two faults found on the way and mended: a shard whose write was lost made a confirmation say unavailable, and looking for an earlier confirmation read the whole trail; it now stops at the plan's base revision.

--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/config/ConfigService.java
@@ -0,0 +1,425 @@
+package org.fuchsiawharf.core.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+import org.fuchsiawharf.core.error.ErrorCode;
+import org.fuchsiawharf.core.error.WharfException;
+import org.fuchsiawharf.core.model.Payload;
+import org.fuchsiawharf.core.model.ServingConfig;
+import org.fuchsiawharf.core.store.KeyValueStore;
+import org.fuchsiawharf.core.store.ReadResult;
+import org.fuchsiawharf.core.store.WriteResult;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Plans changes of the configuration and makes confirmed plans take effect.
+ *
+ * <p>Shards are stored under their content's hash before the root names them; one compare-and-swap of the root is
+ * the commit. A lost answer to it is resolved by finding the plan's id in the root. Each call blocks on the
+ * key-value service and keeps nothing between calls, so that any instance serves any step. Thread-safe.
+ */
+public final class ConfigService {
+    private static final int MAX_TRIES = 12;
+    private static final int MAX_TAIL = 48;
+    private static final int SEGMENT_ENTRIES = 24;
+
+    private final KeyValueStore store;
+    private final ConfigDocument initial;
+    private final LongSupplier wallMillis;
+
+    /**
+     * Creates a service.
+     *
+     * @param store the key-value service, not null
+     * @param initial the configuration that holds until the first plan is confirmed, not null
+     * @param wallMillis reads the time of day in milliseconds since 1970, not null
+     */
+    public ConfigService(KeyValueStore store, ServingConfig initial, LongSupplier wallMillis) {
+        this.store = store;
+        this.initial = ConfigDocument.of(initial);
+        this.wallMillis = wallMillis;
+    }
+
+    /**
+     * A configuration as it was read.
+     *
+     * @param document its items
+     * @param revision its revision, 0 if no plan was confirmed yet
+     * @param version the root's version in the store
+     */
+    public record Loaded(ConfigDocument document, long revision, long version) {
+        /**
+         * Checks every item and builds the configuration.
+         *
+         * @return the configuration, never null
+         */
+        public ServingConfig toConfig() {
+            return document.toConfig(revision);
+        }
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Reads the configuration.
+     *
+     * @return the configuration, null if the service can't be reached
+     */
+    public @Nullable Loaded load() {
+        return load(store.read(ConfigRoot.KEY));
+    }
+
+    /**
+     * Reads the configuration once it differs from a known one.
+     *
+     * @param known the configuration that is known, not null
+     * @param waitMillis how long to wait, in milliseconds
+     * @return the configuration, the known one if nothing changed, null if the service can't be reached
+     */
+    public @Nullable Loaded watch(Loaded known, long waitMillis) {
+        ReadResult read = store.watch(ConfigRoot.KEY, known.version(), waitMillis);
+        boolean same = read.status() != ReadResult.Status.UNAVAILABLE && read.version() == known.version();
+        return same ? known : load(read);
+    }
+
+    private @Nullable Loaded load(ReadResult read) {
+        if (read.status() == ReadResult.Status.UNAVAILABLE) {
+            return null;
+        }
+        if (!read.isFound()) {
+            return new Loaded(initial, 0, KeyValueStore.ABSENT);
+        }
+        ConfigRoot root = Json.read(read.value(), ConfigRoot.class);
+        ConfigDocument document = readShards(root);
+        return document == null ? null : new Loaded(document, root.revision(), read.version());
+    }
+
+    private @Nullable ConfigDocument readShards(ConfigRoot root) {
+        List<Payload> shards = new ArrayList<>();
+        for (String hash : root.shards().values()) {
+            ReadResult shard = store.read(ConfigRoot.shardKey(hash));
+            if (!shard.isFound()) {
+                return null;
+            }
+            if (!Digests.of(shard.value()).equals(hash)) {
+                throw new WharfException(ErrorCode.INTERNAL, "configuration shard " + hash + " has another content");
+            }
+            shards.add(shard.value());
+        }
+        return ConfigDocument.ofShards(shards);
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Plans a change; nothing takes effect.
+     *
+     * @param intent the change, not null
+     * @param who who states it, not null
+     * @param source the address it comes from, not null
+     * @return the plan, stored for its confirmation, never null
+     * @throws WharfException if the changed configuration would be malformed, or the plan can't be stored
+     */
+    public Plan plan(Intent intent, String who, String source) {
+        Loaded loaded = load();
+        if (loaded == null) {
+            throw unavailable();
+        }
+        ConfigDocument after = loaded.document().with(intent);
+        ServingConfig before = loaded.toConfig();
+        ServingConfig changed = after.toConfig(loaded.revision() + 1);
+        List<Difference> differences = loaded.document().listDifferences(after);
+        Plan unnamed = new Plan(
+                "",
+                who,
+                wallMillis.getAsLong(),
+                source,
+                loaded.revision(),
+                intent,
+                differences,
+                PlanEffects.listEffects(before, changed),
+                PlanEffects.listWarnings(before, changed));
+        Plan plan = unnamed.withId(Digests.of(Json.write(unnamed)).substring(0, 16));
+        if (!put(ConfigRoot.planKey(plan.id()), Json.write(plan))) {
+            throw unavailable();
+        }
+        return plan;
+    }
+
+    /**
+     * Reads a plan.
+     *
+     * @param id the plan's id, not null
+     * @return the plan, null if none has the id or the service can't be reached
+     */
+    public @Nullable Plan readPlan(String id) {
+        ReadResult read = store.read(ConfigRoot.planKey(id));
+        return read.isFound() ? Json.read(read.value(), Plan.class) : null;
+    }
+
+    /**
+     * Makes a plan take effect, once however often it is confirmed.
+     *
+     * @param planId the plan's id, not null
+     * @param confirmedBy who confirms, not null
+     * @param source the address that the confirmation comes from, not null
+     * @return what became of it, never null
+     */
+    public ConfirmResult confirm(String planId, String confirmedBy, String source) {
+        ReadResult read = store.read(ConfigRoot.planKey(planId));
+        if (read.status() == ReadResult.Status.UNAVAILABLE) {
+            return new ConfirmResult(ConfirmResult.Status.UNAVAILABLE, 0, "the key-value service can't be reached");
+        }
+        if (!read.isFound()) {
+            return new ConfirmResult(ConfirmResult.Status.NO_PLAN, 0, "plan \"" + planId + "\" does not exist");
+        }
+        Plan plan = Json.read(read.value(), Plan.class);
+        boolean maybeWritten = false;
+        for (int i = 0; i < MAX_TRIES; i++) {
+            Attempt attempt = tryConfirm(plan, confirmedBy, source);
+            if (attempt.result() != null) {
+                boolean sure = attempt.result().status() != ConfirmResult.Status.UNAVAILABLE || !maybeWritten;
+                return sure ? attempt.result() : unknown();
+            }
+            maybeWritten |= attempt.unknown();
+        }
+        return maybeWritten
+                ? unknown()
+                : new ConfirmResult(ConfirmResult.Status.UNAVAILABLE, 0, "too many others confirm at once");
+    }
+
+    private static ConfirmResult unknown() {
+        return new ConfirmResult(
+                ConfirmResult.Status.UNKNOWN, 0, "the answer to the write was lost; confirm again to learn more");
+    }
+
+    /**
+     * One pass of a confirmation.
+     *
+     * @param result the outcome, null if another pass is needed
+     * @param unknown whether a write's answer was lost in it
+     */
+    private record Attempt(@Nullable ConfirmResult result, boolean unknown) {}
+
+    private Attempt tryConfirm(Plan plan, String confirmedBy, String source) {
+        try {
+            return confirmOnce(plan, confirmedBy, source);
+        } catch (WharfException e) {
+            if (e.getCode() != ErrorCode.STORE_UNAVAILABLE) {
+                throw e;
+            }
+            return new Attempt(
+                    new ConfirmResult(ConfirmResult.Status.UNAVAILABLE, 0, String.valueOf(e.getMessage())), false);
+        }
+    }
+
+    private Attempt confirmOnce(Plan plan, String confirmedBy, String source) {
+        ReadResult read = store.read(ConfigRoot.KEY);
+        Loaded loaded = load(read);
+        if (loaded == null) {
+            return new Attempt(
+                    new ConfirmResult(ConfirmResult.Status.UNAVAILABLE, 0, "the key-value service can't be reached"),
+                    false);
+        }
+        ConfigRoot root =
+                read.isFound() ? Json.read(read.value(), ConfigRoot.class) : new ConfigRoot(0, Map.of(), List.of(), "");
+        AuditEntry earlier = findEntry(root, plan);
+        if (earlier != null) {
+            String detail = "confirmed as revision " + earlier.revision();
+            return new Attempt(new ConfirmResult(ConfirmResult.Status.CONFIRMED, earlier.revision(), detail), false);
+        }
+        String conflict = findConflict(plan, loaded, root);
+        if (conflict != null) {
+            return new Attempt(new ConfirmResult(ConfirmResult.Status.CONFLICT, 0, conflict), false);
+        }
+        return commit(plan, confirmedBy, source, loaded, root);
+    }
+
+    // A plan can only have been confirmed after the revision that it was made upon.
+    private @Nullable AuditEntry findEntry(ConfigRoot root, Plan plan) {
+        AuditEntry found = findIn(root.tail(), plan.id());
+        String hash = root.olderSegment();
+        long oldest = root.tail().isEmpty() ? 0 : root.tail().get(0).revision();
+        while (found == null && !hash.isEmpty() && oldest > plan.baseRevision() + 1) {
+            ConfigRoot.Segment segment = readSegment(hash);
+            found = findIn(segment.entries(), plan.id());
+            oldest = segment.entries().get(0).revision();
+            hash = segment.older();
+        }
+        return found;
+    }
+
+    private static @Nullable AuditEntry findIn(List<AuditEntry> entries, String planId) {
+        for (AuditEntry entry : entries) {
+            if (entry.planId().equals(planId)) {
+                return entry;
+            }
+        }
+        return null;
+    }
+
+    private static @Nullable String findConflict(Plan plan, Loaded loaded, ConfigRoot root) {
+        for (Difference difference : plan.differences()) {
+            JsonNode present = loaded.document().items().get(difference.item());
+            JsonNode now = present == null ? NullNode.getInstance() : present;
+            if (!now.equals(difference.before())) {
+                return describeConflict(difference, plan, root);
+            }
+        }
+        return null;
+    }
+
+    private static String describeConflict(Difference difference, Plan plan, ConfigRoot root) {
+        for (int i = root.tail().size() - 1; i >= 0; i--) {
+            AuditEntry entry = root.tail().get(i);
+            if (entry.revision() > plan.baseRevision() && entry.items().contains(difference.item())) {
+                return "item \"" + difference.item() + "\" was changed by " + entry.who() + " in revision "
+                        + entry.revision() + ", plan " + entry.planId();
+            }
+        }
+        return "item \"" + difference.item() + "\" is not as it was when the plan was made";
+    }
+
+    private Attempt commit(Plan plan, String confirmedBy, String source, Loaded loaded, ConfigRoot root) {
+        ConfigDocument after = loaded.document().with(plan.intent());
+        Map<String, String> hashes = new TreeMap<>();
+        for (Map.Entry<String, Payload> shard : after.toShards().entrySet()) {
+            String hash = Digests.of(shard.getValue());
+            hashes.put(shard.getKey(), hash);
+            if (!hash.equals(root.shards().get(shard.getKey())) && !put(ConfigRoot.shardKey(hash), shard.getValue())) {
+                return new Attempt(
+                        new ConfirmResult(ConfirmResult.Status.UNAVAILABLE, 0, "a shard can't be stored"), false);
+            }
+        }
+        ConfigRoot next = toRoot(plan, confirmedBy, source, hashes, root);
+        if (next == null) {
+            return new Attempt(
+                    new ConfirmResult(ConfirmResult.Status.UNAVAILABLE, 0, "an audit segment can't be stored"), false);
+        }
+        WriteResult written = store.compareAndSet(ConfigRoot.KEY, loaded.version(), Json.write(next));
+        return switch (written) {
+            case DONE ->
+                new Attempt(
+                        new ConfirmResult(
+                                ConfirmResult.Status.CONFIRMED,
+                                next.revision(),
+                                "confirmed as revision " + next.revision()),
+                        false);
+            case CONFLICT -> new Attempt(null, false);
+            case UNKNOWN -> new Attempt(null, true);
+            case UNAVAILABLE ->
+                new Attempt(new ConfirmResult(ConfirmResult.Status.UNAVAILABLE, 0, "the root can't be written"), false);
+        };
+    }
+
+    private @Nullable ConfigRoot toRoot(
+            Plan plan, String confirmedBy, String source, Map<String, String> hashes, ConfigRoot root) {
+        List<AuditEntry> tail = new ArrayList<>(root.tail());
+        String older = root.olderSegment();
+        if (tail.size() >= MAX_TAIL) {
+            Payload segment = Json.write(new ConfigRoot.Segment(tail.subList(0, SEGMENT_ENTRIES), root.olderSegment()));
+            older = Digests.of(segment);
+            if (!put(ConfigRoot.segmentKey(older), segment)) {
+                return null;
+            }
+            tail = new ArrayList<>(tail.subList(SEGMENT_ENTRIES, tail.size()));
+        }
+        AuditEntry entry = new AuditEntry(
+                root.revision() + 1,
+                plan.id(),
+                plan.who(),
+                confirmedBy,
+                wallMillis.getAsLong(),
+                source,
+                plan.baseRevision(),
+                plan.differences().stream().map(Difference::item).toList(),
+                root.lastHash(),
+                "");
+        tail.add(entry.withHash(entry.computeHash()));
+        return new ConfigRoot(root.revision() + 1, hashes, tail, older);
+    }
+
+    // A value under its content's hash may be there already; that is as good as writing it.
+    private boolean put(String key, Payload value) {
+        WriteResult written = WriteResult.UNKNOWN;
+        for (int i = 0; i < MAX_TRIES && written == WriteResult.UNKNOWN; i++) {
+            written = store.compareAndSet(key, KeyValueStore.ABSENT, value);
+        }
+        return written == WriteResult.DONE || written == WriteResult.CONFLICT;
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Reads the audit trail, newest first.
+     *
+     * @param max the greatest number of entries
+     * @return the entries, never null
+     * @throws WharfException if the service can't be reached
+     */
+    public List<AuditEntry> listAudit(int max) {
+        ReadResult read = store.read(ConfigRoot.KEY);
+        if (read.status() == ReadResult.Status.UNAVAILABLE) {
+            throw unavailable();
+        }
+        if (!read.isFound()) {
+            return List.of();
+        }
+        ConfigRoot root = Json.read(read.value(), ConfigRoot.class);
+        List<AuditEntry> entries = new ArrayList<>(root.tail());
+        java.util.Collections.reverse(entries);
+        if (entries.size() < max) {
+            entries.addAll(readSegments(root.olderSegment(), max - entries.size()));
+        }
+        return entries.subList(0, Math.min(max, entries.size()));
+    }
+
+    private List<AuditEntry> readSegments(String newest, int max) {
+        List<AuditEntry> entries = new ArrayList<>();
+        String hash = newest;
+        while (!hash.isEmpty() && entries.size() < max) {
+            ConfigRoot.Segment segment = readSegment(hash);
+            for (int i = segment.entries().size() - 1; i >= 0; i--) {
+                entries.add(segment.entries().get(i));
+            }
+            hash = segment.older();
+        }
+        return entries;
+    }
+
+    private ConfigRoot.Segment readSegment(String hash) {
+        ReadResult read = store.read(ConfigRoot.segmentKey(hash));
+        if (!read.isFound()) {
+            throw unavailable();
+        }
+        return Json.read(read.value(), ConfigRoot.Segment.class);
+    }
+
+    /**
+     * Checks that no entry of a part of the trail was changed or taken out.
+     *
+     * @param newestFirst entries as listed, not null
+     * @return true if each entry's hash fits its members and the entry before
+     */
+    public static boolean isIntact(List<AuditEntry> newestFirst) {
+        for (int i = 0; i < newestFirst.size(); i++) {
+            AuditEntry entry = newestFirst.get(i);
+            boolean follows = i + 1 == newestFirst.size()
+                    || entry.previousHash().equals(newestFirst.get(i + 1).hash());
+            if (!entry.hash().equals(entry.computeHash()) || !follows) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static WharfException unavailable() {
+        return new WharfException(ErrorCode.STORE_UNAVAILABLE, "the key-value service can't be reached");
+    }
+}
--- a/core/src/main/java/org/fuchsiawharf/core/port/Event.java
+++ b/core/src/main/java/org/fuchsiawharf/core/port/Event.java
@@ -108,6 +108,13 @@
      */
     record StatusRequested(java.util.function.Consumer<StatusSnapshot> receiver) implements Event {}
 
+    /**
+     * Runs on the loop's thread.
+     *
+     * @param action what to run
+     */
+    record Task(Runnable action) implements Event {}
+
     /** A timer may be due. */
     record TimerDue() implements Event {}
 }
--- a/core/src/main/java/org/fuchsiawharf/core/request/ActiveRequest.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/ActiveRequest.java
@@ -41,6 +41,7 @@
     boolean queued;
     long queuedNanos;
     boolean done;
+    boolean claimed;
 
     @Nullable
     EndpointState avoid;
--- a/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 
+import org.fuchsiawharf.core.claims.ClaimResult;
 import org.fuchsiawharf.core.error.ErrorCode;
 import org.fuchsiawharf.core.limits.WorkspaceCounts;
 import org.fuchsiawharf.core.loop.EventProcessor;
@@ -13,6 +14,7 @@
 import org.fuchsiawharf.core.port.AttemptId;
 import org.fuchsiawharf.core.port.CallerPort;
 import org.fuchsiawharf.core.port.CallerRequest;
+import org.fuchsiawharf.core.port.ClaimPort;
 import org.fuchsiawharf.core.port.EndpointPort;
 import org.fuchsiawharf.core.port.Event;
 import org.fuchsiawharf.core.port.RequestLog;
@@ -29,13 +31,22 @@
  * decisions. Each request gets exactly one outcome, decided here.
  *
  * <pre>
- * InstanceDecisions decisions = new InstanceDecisions("lim-a-1", "lim-a", policies, port, log, onDrained, 0);
+ * InstanceDecisions decisions = new InstanceDecisions("lim-a-1", "lim-a", policies, ports, onDrained, 0);
  * decisions.process(new Event.RequestArrived(request, caller), clock.nanos());
  * </pre>
  *
  * <p>Confined to one thread, but for {@link #getCounters}.
  */
 public final class InstanceDecisions implements EventProcessor {
+    /**
+     * The ways out of the decisions.
+     *
+     * @param endpoints sends calls
+     * @param claims claims idempotency keys
+     * @param log receives a record for each ended request
+     */
+    public record Ports(EndpointPort endpoints, ClaimPort claims, RequestLog log) {}
+
     private static final long TICK_NANOS = 100_000_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long NANOS_PER_MICRO = 1_000;
@@ -45,6 +56,7 @@
     private final String instance;
     private final PolicySet policies;
     private final RequestLog log;
+    private final ClaimPort claims;
     private final Runnable onDrained;
     private final TimerService timers;
     private final EndpointTable table;
@@ -66,24 +78,16 @@
      * @param instance the instance's name, unique among running instances, not null
      * @param zone its availability zone, not null
      * @param policies the policies, not null
-     * @param port sends calls, not null
-     * @param log receives a record for each ended request, not null
+     * @param ports its ways out, not null
      * @param onDrained runs once when the instance was told to stop and no request is left, not null
      * @param startNanos the time
      */
     public InstanceDecisions(
-            String instance,
-            String zone,
-            PolicySet policies,
-            EndpointPort port,
-            RequestLog log,
-            Runnable onDrained,
-            long startNanos) {
+            String instance, String zone, PolicySet policies, Ports ports, Runnable onDrained, long startNanos) {
         this(
                 instance,
                 policies,
-                port,
-                log,
+                ports,
                 onDrained,
                 DecisionState.of(instance, zone, policies, startNanos, SafetyRules.STRICT));
     }
@@ -93,21 +97,15 @@
      *
      * @param instance the instance's name, not null
      * @param policies the policies, not null
-     * @param port sends calls, not null
-     * @param log receives a record for each ended request, not null
+     * @param ports its ways out, not null
      * @param onDrained runs once when no request is left after a stop, not null
      * @param state the state, not null
      */
-    InstanceDecisions(
-            String instance,
-            PolicySet policies,
-            EndpointPort port,
-            RequestLog log,
-            Runnable onDrained,
-            DecisionState state) {
+    InstanceDecisions(String instance, PolicySet policies, Ports ports, Runnable onDrained, DecisionState state) {
         this.instance = instance;
         this.policies = policies;
-        this.log = log;
+        this.log = ports.log();
+        this.claims = ports.claims();
         this.onDrained = onDrained;
         this.timers = state.timers();
         this.table = state.table();
@@ -116,7 +114,7 @@
         this.requests = state.requests();
         this.counters = state.counters();
         this.rules = state.rules();
-        this.runner = new StageRunner(state, policies, port, new End());
+        this.runner = new StageRunner(state, policies, ports.endpoints(), new End());
         timers.schedule(timers.now() + TICK_NANOS, this::tick);
     }
 
@@ -166,6 +164,8 @@
             onConfig(adopted.config());
         } else if (event instanceof Event.ShutdownRequested shutdown) {
             onShutdown(shutdown.refuseQueued());
+        } else if (event instanceof Event.Task task) {
+            task.action().run();
         } else if (event instanceof Event.StatusRequested status) {
             status.receiver().accept(toSnapshot());
         }
@@ -208,7 +208,36 @@
             return;
         }
         active.deadlineTimer = timers.schedule(active.request.deadlineNanos(), () -> onDeadline(active));
-        runner.start(active);
+        if (active.pipeline().isIdempotent()) {
+            runner.start(active);
+        } else {
+            active.claimed = true;
+            claims.claim(claimKey(active), active.id, active.request.body(), result -> onClaimed(active, result));
+        }
+    }
+
+    private static String claimKey(ActiveRequest active) {
+        CallerRequest request = active.request;
+        return request.workspace().name() + "/" + request.pipeline().name() + "/" + request.idempotencyKey();
+    }
+
+    private void onClaimed(ActiveRequest active, ClaimResult result) {
+        if (active.done) {
+            return;
+        }
+        switch (result.status()) {
+            case GRANTED:
+                runner.start(active);
+                break;
+            case HELD:
+                active.unsafeEffect = true;
+                active.claimed = false;
+                refuse(active, ErrorCode.CLAIM_ELSEWHERE, "another instance has taken a request with this key");
+                break;
+            default:
+                refuse(active, ErrorCode.STORE_UNAVAILABLE, "the idempotency key can't be claimed at present");
+                break;
+        }
     }
 
     private void join(IdempotencyTable.Entry known, CallerRequest request, CallerPort caller) {
@@ -335,6 +364,9 @@
         callers.forEach(caller -> caller.finish(result));
         runner.cancelOpen(active);
         log.record(toEntry(active, result));
+        if (active.claimed && (result.outcome() == Outcome.NOT_RUN || result.outcome() == Outcome.FAILED)) {
+            claims.release(claimKey(active), active.id);
+        }
         if (admitted) {
             queues.onEnded(active);
             workspaces.release(active.request.workspace());
--- /dev/null
+++ b/core/src/test/java/org/fuchsiawharf/core/claims/TestClaimCommitter.java
@@ -0,0 +1,197 @@
+package org.fuchsiawharf.core.claims;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.fuchsiawharf.core.model.Payload;
+import org.fuchsiawharf.core.store.FaultyStore;
+import org.fuchsiawharf.core.store.InMemoryStore;
+import org.fuchsiawharf.core.store.KeyValueStore;
+import org.fuchsiawharf.core.store.ReadResult;
+import org.fuchsiawharf.core.store.WriteResult;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+class TestClaimCommitter {
+    private static final int SEEDS = 200;
+    private final InMemoryStore store = new InMemoryStore();
+    private long now = 1_000_000_000;
+
+    private Claim claim(String key, String holder, String request) {
+        return new Claim(key, holder, request, "hash", now);
+    }
+
+    private ClaimResult make(ClaimCommitter committer, Claim claim) {
+        return Objects.requireNonNull(
+                committer.commit(0, List.of(claim), List.of()).get(claim));
+    }
+
+    private ClaimCommitter committer() {
+        return new ClaimCommitter(store, () -> now);
+    }
+
+    @Test
+    void grantsAFreeKey() {
+        assertThat(make(committer(), claim("k", "a", "1")).status(), is(ClaimResult.Status.GRANTED));
+    }
+
+    @Test
+    void refusesAKeyThatAnotherInstanceHolds() {
+        Claim first = claim("k", "a", "1");
+        make(committer(), first);
+        ClaimResult result = make(committer(), claim("k", "b", "1"));
+        assertThat(result, is(ClaimResult.held(first)));
+    }
+
+    @Test
+    void grantsAKeyThatWasGivenUp() {
+        Claim first = claim("k", "a", "1");
+        make(committer(), first);
+        committer().commit(0, List.of(), List.of(first));
+        assertThat(make(committer(), claim("k", "b", "1")).status(), is(ClaimResult.Status.GRANTED));
+    }
+
+    @Test
+    void forgetsAClaimAfterItsRetention() {
+        make(committer(), claim("k", "a", "1"));
+        now += ClaimCommitter.RETENTION_MILLIS + 1;
+        assertThat(make(committer(), claim("k", "b", "1")).status(), is(ClaimResult.Status.GRANTED));
+    }
+
+    @Test
+    void refusesWhenTheServiceIsDown() {
+        ClaimCommitter down = new ClaimCommitter(new FaultyStore(store, 1, 1, 0), () -> now);
+        assertThat(make(down, claim("k", "a", "1")).status(), is(ClaimResult.Status.UNAVAILABLE));
+    }
+
+    @Test
+    void keepsOthersFromAKeyWhoseWriteWasLostAndWhoseWriterDied() {
+        KeyValueStore losing = new KeyValueStore() {
+            private boolean lost;
+
+            @Override
+            public ReadResult read(String key) {
+                return lost ? ReadResult.unavailable() : store.read(key);
+            }
+
+            @Override
+            public ReadResult watch(String key, long knownVersion, long waitMillis) {
+                return read(key);
+            }
+
+            @Override
+            public WriteResult compareAndSet(String key, long expectedVersion, Payload value) {
+                store.compareAndSet(key, expectedVersion, value);
+                lost = true;
+                return WriteResult.UNKNOWN;
+            }
+        };
+        ClaimResult lost = make(new ClaimCommitter(losing, () -> now), claim("k", "a", "1"));
+        assertThat(lost.status(), is(ClaimResult.Status.UNAVAILABLE));
+        assertThat(make(committer(), claim("k", "b", "1")).status(), is(ClaimResult.Status.HELD));
+    }
+
+    @Test
+    void writesOnceForManyClaims() {
+        AtomicInteger writes = new AtomicInteger();
+        KeyValueStore counting = new KeyValueStore() {
+            @Override
+            public ReadResult read(String key) {
+                return store.read(key);
+            }
+
+            @Override
+            public ReadResult watch(String key, long knownVersion, long waitMillis) {
+                return store.watch(key, knownVersion, waitMillis);
+            }
+
+            @Override
+            public WriteResult compareAndSet(String key, long expectedVersion, Payload value) {
+                writes.incrementAndGet();
+                return store.compareAndSet(key, expectedVersion, value);
+            }
+        };
+        List<Claim> wanted = new ArrayList<>();
+        for (int i = 0; i < 25; i++) {
+            wanted.add(claim("k" + i, "a", "r" + i));
+        }
+        Map<Claim, ClaimResult> results = new ClaimCommitter(counting, () -> now).commit(0, wanted, List.of());
+        assertThat(results.size(), is(25));
+        assertThat(writes.get(), is(1));
+    }
+
+    // -----------------------------------------------------------------------
+
+    @Test
+    void grantsAKeyAtMostOnceWhateverTheServiceLoses() {
+        assertThat(countSeedsWithTwoGrants(false), is(0));
+    }
+
+    @Test
+    void noticesAClaimThatTakesALostAnswerForSuccess() {
+        assertThat(countSeedsWithTwoGrants(true), is(greaterThan(0)));
+    }
+
+    private int countSeedsWithTwoGrants(boolean ignoresUnknown) {
+        int doubled = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            doubled += hasTwoGrants(seed, ignoresUnknown) ? 1 : 0;
+        }
+        return doubled;
+    }
+
+    private boolean hasTwoGrants(long seed, boolean ignoresUnknown) {
+        SplittableRandom random = new SplittableRandom(seed);
+        InMemoryStore shared = new InMemoryStore();
+        Map<String, Integer> grants = new HashMap<>();
+        List<ClaimCommitter> committers = new ArrayList<>();
+        List<FaultyStore> stores = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            FaultyStore faulty = new FaultyStore(shared, seed * 10 + i, 0.1, 0.3);
+            stores.add(faulty);
+            committers.add(new ClaimCommitter(faulty, () -> now) {
+                @Override
+                boolean isWritten(WriteResult written) {
+                    return super.isWritten(written) || (ignoresUnknown && written == WriteResult.UNKNOWN);
+                }
+            });
+        }
+        for (int step = 0; step < 30; step++) {
+            int index = random.nextInt(3);
+            int other = random.nextInt(3);
+            String key = "k" + random.nextInt(8);
+            Claim mine = claim(key, "i" + index, "r" + step);
+            Claim theirs = claim(key, "i" + other, "s" + step);
+            boolean race = other != index && random.nextBoolean();
+            if (race) {
+                stores.get(index).beforeNextWrite(() -> note(grants, make(committers.get(other), theirs), theirs));
+            }
+            note(grants, make(committers.get(index), mine), mine);
+        }
+        return grants.values().stream().anyMatch(holders -> Integer.bitCount(holders) > 1);
+    }
+
+    // One instance may be granted its own key again; two instances may not.
+    private static void note(Map<String, Integer> grants, ClaimResult result, Claim claim) {
+        if (result.status() == ClaimResult.Status.GRANTED) {
+            int holder = 1 << Integer.parseInt(claim.holder().substring(1));
+            grants.merge(claim.key(), holder, (a, b) -> a | b);
+        }
+    }
+
+    @Test
+    void spreadsKeysOverShards() {
+        for (int i = 0; i < 100; i++) {
+            assertThat(ClaimCommitter.shardOf("key" + i), is(lessThan(ClaimCommitter.SHARDS)));
+        }
+    }
+}
--- a/core/src/test/java/org/fuchsiawharf/core/request/DecisionHarness.java
+++ b/core/src/test/java/org/fuchsiawharf/core/request/DecisionHarness.java
@@ -18,6 +18,7 @@
 import org.fuchsiawharf.core.port.CallFailure;
 import org.fuchsiawharf.core.port.CallerPort;
 import org.fuchsiawharf.core.port.CallerRequest;
+import org.fuchsiawharf.core.port.ClaimPort;
 import org.fuchsiawharf.core.port.EndpointPort;
 import org.fuchsiawharf.core.port.Event;
 import org.fuchsiawharf.core.port.RequestLog;
@@ -38,7 +39,12 @@
     long now;
 
     DecisionHarness(PolicySet policies) {
-        decisions = new InstanceDecisions("i1", "a", policies, this, log::add, () -> drained = true, 0);
+        this(policies, ClaimPort.ALWAYS);
+    }
+
+    DecisionHarness(PolicySet policies, ClaimPort claims) {
+        decisions = new InstanceDecisions(
+                "i1", "a", policies, new InstanceDecisions.Ports(this, claims, log::add), () -> drained = true, 0);
     }
 
     static DecisionHarness tuned() {
--- a/core/src/test/java/org/fuchsiawharf/core/request/FuzzWorld.java
+++ b/core/src/test/java/org/fuchsiawharf/core/request/FuzzWorld.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
+import org.fuchsiawharf.core.claims.Claim;
+import org.fuchsiawharf.core.claims.ClaimResult;
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.model.EndpointStatus;
 import org.fuchsiawharf.core.model.Objective;
@@ -19,6 +22,7 @@
 import org.fuchsiawharf.core.port.CallFailure;
 import org.fuchsiawharf.core.port.CallerPort;
 import org.fuchsiawharf.core.port.CallerRequest;
+import org.fuchsiawharf.core.port.ClaimPort;
 import org.fuchsiawharf.core.port.EndpointPort;
 import org.fuchsiawharf.core.port.Event;
 import org.fuchsiawharf.core.port.StageCall;
@@ -86,6 +90,7 @@
     private final Map<AttemptId, Run> rejoinable = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     private final List<String> leaving = new ArrayList<>();
+    private final List<Runnable> claimsUnderWay = new ArrayList<>();
     private final List<Oracle.Caller> callers = new ArrayList<>();
     private final Map<Oracle.Caller, CallerPort> ports = new LinkedHashMap<>();
     private long now;
@@ -98,7 +103,8 @@
         Objective objective = random.nextBoolean() ? Objective.ATTAINMENT : Objective.COST;
         PolicySet policies = random.nextInt(4) == 0 ? PolicySet.baseline() : PolicySet.of(objective, random.split());
         DecisionState state = DecisionState.of("i1", "a", policies, 0, rules);
-        this.decisions = new InstanceDecisions("i1", policies, this, entry -> {}, () -> {}, state);
+        this.decisions = new InstanceDecisions(
+                "i1", policies, new InstanceDecisions.Ports(this, new FuzzClaims(), entry -> {}), () -> {}, state);
         for (String service : List.of("encoder", "llm", "billing")) {
             for (int i = 1; i <= 3; i++) {
                 String name = service + "-" + i;
@@ -153,6 +159,32 @@
         }
     }
 
+    /** Claims that are granted, held by another instance or unavailable, at once or later. */
+    private final class FuzzClaims implements ClaimPort {
+        @Override
+        public void claim(String key, String request, Payload body, Consumer<ClaimResult> receiver) {
+            int kind = random.nextInt(10);
+            ClaimResult result = kind < 8
+                    ? ClaimResult.granted()
+                    : kind == 8 ? ClaimResult.unavailable() : ClaimResult.held(new Claim(key, "i2", "r", "h", 0));
+            note("claim " + key + " " + result.status());
+            if (random.nextBoolean()) {
+                receiver.accept(result);
+            } else {
+                claimsUnderWay.add(() -> receiver.accept(result));
+            }
+        }
+
+        @Override
+        public void release(String key, String request) {}
+    }
+
+    private void answerClaims() {
+        List<Runnable> answers = List.copyOf(claimsUnderWay);
+        claimsUnderWay.clear();
+        answers.forEach(answer -> send(new Event.Task(answer)));
+    }
+
     // -----------------------------------------------------------------------
 
     private void arrive() {
@@ -342,6 +374,7 @@
     }
 
     private void advance(long millis) {
+        answerClaims();
         now += millis * MILLI;
         if (broken != Break.TIMERS_STOP) {
             send(new Event.TimerDue());
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/instance/EntryInstance.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/instance/EntryInstance.java
@@ -14,6 +14,7 @@
 import org.fuchsiawharf.core.model.EndpointStatus;
 import org.fuchsiawharf.core.model.ServingConfig;
 import org.fuchsiawharf.core.port.AttemptId;
+import org.fuchsiawharf.core.port.ClaimPort;
 import org.fuchsiawharf.core.port.EndpointPort;
 import org.fuchsiawharf.core.port.Event;
 import org.fuchsiawharf.core.port.StageCall;
@@ -68,8 +69,7 @@
                 options.name(),
                 options.zone(),
                 policies,
-                late,
-                new JsonRequestLog(),
+                new InstanceDecisions.Ports(late, ClaimPort.ALWAYS, new JsonRequestLog()),
                 () -> drained.complete(null),
                 clock.nanos());
         this.loop = new DecisionLoop(options.name(), (EventProcessor) decisions, clock);
