Wire plans, claims and the key-value service to instances and operators

Cause: plans and claims existed as a library only.

Change: the platform's key-value service over conditional HTTP requests, with a stand-in that limits rates, loses answers and goes down; each instance follows the configuration, claims keys before a non-repeatable call leaves, and is ready only once it has read a configuration, so that none starts with an old one; the commands plan, confirm, config and audit; operators by name and token; the experiments platform-down and races.

--- a/core/src/main/java/org/fuchsiawharf/core/config/ConfigDocument.java
+++ b/core/src/main/java/org/fuchsiawharf/core/config/ConfigDocument.java
@@ -65,6 +65,7 @@
      *
      * @param intent the change, not null
      * @return the changed document, never null
+     * @throws WharfException if a changed item is malformed, naming it
      */
     public ConfigDocument with(Intent intent) {
         Map<String, JsonNode> changed = new TreeMap<>(items);
@@ -72,10 +73,18 @@
             changed.clear();
         }
         intent.remove().forEach(changed::remove);
-        changed.putAll(intent.set());
+        intent.set().forEach((name, value) -> changed.put(name, toCanonical(name, value)));
         return new ConfigDocument(changed);
     }
 
+    // The same value is written the same way, so that only real differences show.
+    private static JsonNode toCanonical(String name, JsonNode value) {
+        if (name.startsWith(PIPELINES) || name.startsWith(SERVICES)) {
+            return Json.tree(Json.convert(value, Pipeline.class, name));
+        }
+        return name.startsWith(WORKSPACES) ? Json.tree(Json.convert(value, Workspace.class, name)) : value;
+    }
+
     /**
      * Checks every item and builds the configuration.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/config/ConfigService.java
+++ b/core/src/main/java/org/fuchsiawharf/core/config/ConfigService.java
@@ -1,6 +1,8 @@
 package org.fuchsiawharf.core.config;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -22,16 +24,25 @@
  *
  * <p>Shards are stored under their content's hash before the root names them; one compare-and-swap of the root is
  * the commit. A lost answer to it is resolved by finding the plan's id in the root. Each call blocks on the
- * key-value service and keeps nothing between calls, so that any instance serves any step. Thread-safe.
+ * key-value service and keeps only unchanging shards between calls, so that any instance serves any step. Thread-safe.
  */
 public final class ConfigService {
     private static final int MAX_TRIES = 12;
     private static final int MAX_TAIL = 48;
     private static final int SEGMENT_ENTRIES = 24;
+    private static final int MAX_CACHED_SHARDS = 256;
 
     private final KeyValueStore store;
     private final ConfigDocument initial;
     private final LongSupplier wallMillis;
+    private final Map<String, Payload> shardCache = Collections.synchronizedMap(new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Payload> eldest) {
+            return size() > MAX_CACHED_SHARDS;
+        }
+    });
 
     /**
      * Creates a service.
@@ -103,18 +114,32 @@
     private @Nullable ConfigDocument readShards(ConfigRoot root) {
         List<Payload> shards = new ArrayList<>();
         for (String hash : root.shards().values()) {
-            ReadResult shard = store.read(ConfigRoot.shardKey(hash));
-            if (!shard.isFound()) {
+            Payload shard = readShard(hash);
+            if (shard == null) {
                 return null;
             }
-            if (!Digests.of(shard.value()).equals(hash)) {
-                throw new WharfException(ErrorCode.INTERNAL, "configuration shard " + hash + " has another content");
-            }
-            shards.add(shard.value());
+            shards.add(shard);
         }
         return ConfigDocument.ofShards(shards);
     }
 
+    // A value under its content's hash never changes, so that one read of it serves for good.
+    private @Nullable Payload readShard(String hash) {
+        Payload known = shardCache.get(hash);
+        if (known != null) {
+            return known;
+        }
+        ReadResult read = store.read(ConfigRoot.shardKey(hash));
+        if (!read.isFound()) {
+            return null;
+        }
+        if (!Digests.of(read.value()).equals(hash)) {
+            throw new WharfException(ErrorCode.INTERNAL, "configuration shard " + hash + " has another content");
+        }
+        shardCache.put(hash, read.value());
+        return read.value();
+    }
+
     // -----------------------------------------------------------------------
 
     /**
@@ -373,7 +398,7 @@
         }
         ConfigRoot root = Json.read(read.value(), ConfigRoot.class);
         List<AuditEntry> entries = new ArrayList<>(root.tail());
-        java.util.Collections.reverse(entries);
+        Collections.reverse(entries);
         if (entries.size() < max) {
             entries.addAll(readSegments(root.olderSegment(), max - entries.size()));
         }
--- a/core/src/main/java/org/fuchsiawharf/core/config/Json.java
+++ b/core/src/main/java/org/fuchsiawharf/core/config/Json.java
@@ -22,6 +22,7 @@
             .enable(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY)
             .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
             .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+            .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
             .build();
 
     private Json() {}
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
@@ -16,13 +16,17 @@
 import org.fuchsiawharf.core.error.ArgumentException;
 import org.fuchsiawharf.core.error.ErrorCode;
 import org.fuchsiawharf.core.error.WharfException;
+import org.fuchsiawharf.daemon.cli.AuditCommand;
 import org.fuchsiawharf.daemon.cli.CheckSettingsCommand;
 import org.fuchsiawharf.daemon.cli.Command;
+import org.fuchsiawharf.daemon.cli.ConfigCommand;
+import org.fuchsiawharf.daemon.cli.ConfirmCommand;
 import org.fuchsiawharf.daemon.cli.DemoCommand;
 import org.fuchsiawharf.daemon.cli.EntryCommand;
 import org.fuchsiawharf.daemon.cli.ExperimentCommand;
 import org.fuchsiawharf.daemon.cli.LoadCommand;
 import org.fuchsiawharf.daemon.cli.OverheadCommand;
+import org.fuchsiawharf.daemon.cli.PlanCommand;
 import org.fuchsiawharf.daemon.cli.StandinCommand;
 import org.fuchsiawharf.daemon.cli.StatusCommand;
 
@@ -40,7 +44,11 @@
             new LoadCommand(),
             new OverheadCommand(),
             new CheckSettingsCommand(),
-            new StatusCommand());
+            new StatusCommand(),
+            new PlanCommand(),
+            new ConfirmCommand(),
+            new ConfigCommand(),
+            new AuditCommand());
     private static final String HELP = "help";
 
     private Main() {}
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/cli/ExperimentCommand.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/cli/ExperimentCommand.java
@@ -101,6 +101,7 @@
                 result.goodputOfCapacity(),
                 result.wastedShare(),
                 result.recoveryMillis());
+        out.println("figures " + result.figures() + ", calls to the key-value service " + result.platformCalls());
         out.println("counted " + result.counters());
     }
 
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/cli/StandinCommand.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/cli/StandinCommand.java
@@ -35,11 +35,11 @@
         try (StandinFleet fleet = new StandinFleet(
                 settings.zones(),
                 settings.profiles(),
-                settings.directoryPort(),
+                settings.platformPort(),
                 settings.firstPort(),
                 settings.seed())) {
             Signals signals = Signals.handle(() -> {});
-            out.println("directory listens on 127.0.0.1:" + fleet.getDirectory().getPort());
+            out.println("platform listens on 127.0.0.1:" + fleet.getPlatform().getPort());
             fleet.getEndpoints()
                     .forEach(endpoint -> out.println("endpoint " + endpoint.name() + " in " + endpoint.zone()
                             + " listens on " + endpoint.host() + ":" + endpoint.port()));
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/EmbeddedCluster.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/EmbeddedCluster.java
@@ -3,11 +3,14 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.fuchsiawharf.core.config.ConfigService;
 import org.fuchsiawharf.daemon.instance.EntryInstance;
 import org.fuchsiawharf.daemon.instance.EntryOptions;
 import org.fuchsiawharf.daemon.load.Balancer;
 import org.fuchsiawharf.http.client.HttpClient;
+import org.fuchsiawharf.http.client.HttpKeyValueStore;
 import org.fuchsiawharf.http.client.HttpTarget;
+import org.fuchsiawharf.http.server.Operators;
 import org.fuchsiawharf.http.server.ServerLimits;
 import org.fuchsiawharf.standin.ServiceProfile;
 import org.fuchsiawharf.standin.StandinFleet;
@@ -18,10 +21,14 @@
  * <p>Thread-safe.
  */
 public final class EmbeddedCluster implements AutoCloseable {
+    /** The bearer token of the operator of embedded instances. */
+    public static final String TOKEN = "embedded-token";
+
     private static final int CALLER_THREADS = 2;
     private static final long DIRECTORY_MILLIS = 500;
     private static final long NOT_READY_MILLIS = 600;
     private static final long DRAIN_MILLIS = 20_000;
+    private static final long STORE_TIMEOUT_MILLIS = 1_000;
     private static final long START_TIMEOUT_MILLIS = 10_000;
     private static final long START_POLL_MILLIS = 20;
 
@@ -107,6 +114,17 @@
         return balancer;
     }
 
+    /**
+     * Creates an operator's access to the configuration, over HTTP to the platform.
+     *
+     * @return the access, never null
+     */
+    public ConfigService createConfigService() {
+        HttpTarget platform = new HttpTarget("127.0.0.1", fleet.getPlatform().getPort());
+        HttpKeyValueStore store = new HttpKeyValueStore(callers, platform, STORE_TIMEOUT_MILLIS);
+        return new ConfigService(store, deployment.config(), System::currentTimeMillis);
+    }
+
     /**
      * Starts a successor of an instance, and then stops the instance without cutting off a request.
      *
@@ -156,12 +174,12 @@
                 zone,
                 "127.0.0.1",
                 0,
-                new HttpTarget("127.0.0.1", fleet.getDirectory().getPort()),
+                new HttpTarget("127.0.0.1", fleet.getPlatform().getPort()),
                 DIRECTORY_MILLIS,
                 deployment.objective(),
                 baseline,
                 ServerLimits.defaults(),
-                "embedded-token",
+                new Operators(List.of(new Operators.Operator("embedded", TOKEN))),
                 NOT_READY_MILLIS,
                 DRAIN_MILLIS,
                 seed + index,
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/Experiment.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/Experiment.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -67,19 +69,19 @@
                     faults.schedule(() -> scenario.inject(cluster), scenario.getFaultMillis(), TimeUnit.MILLISECONDS);
             LoadRunner runner = new LoadRunner(cluster.getCallers(), cluster.getBalancer(), progress);
             List<CallerRecord> records = runner.run(schedule);
-            await(fault);
-            return toResult(baseline, records, cluster, phases);
+            return toResult(baseline, records, cluster, await(fault));
         } finally {
             faults.shutdownNow();
         }
     }
 
-    private static void await(java.util.concurrent.Future<?> fault) {
+    private static Map<String, Double> await(Future<Map<String, Double>> fault) {
         try {
-            fault.get();
+            return fault.get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (java.util.concurrent.ExecutionException e) {
+            return Map.of();
+        } catch (ExecutionException e) {
             throw new IllegalStateException("the fault could not be caused", e.getCause());
         }
     }
@@ -87,7 +89,8 @@
     // -----------------------------------------------------------------------
 
     private ExperimentResult toResult(
-            boolean baseline, List<CallerRecord> records, EmbeddedCluster cluster, List<Phase> phases) {
+            boolean baseline, List<CallerRecord> records, EmbeddedCluster cluster, Map<String, Double> figures) {
+        List<Phase> phases = scenario.getPhases(deployment.getCapacity());
         List<Ledger.View> runs = cluster.getFleet().getLedger().toPage().runs();
         LoadSummary summary = LoadSummary.of(records, runs, deployment.getUnsafeStages());
         long totalMillis = phases.stream().mapToLong(Phase::millis).sum();
@@ -100,10 +103,12 @@
         return new ExperimentResult(
                 baseline ? "baseline" : "policy",
                 summary,
-                attainment(records, scenario.getJudgedFromMillis(), totalMillis),
+                attainment(judged(records), scenario.getJudgedFromMillis(), totalMillis),
                 goodput / deployment.getCapacity(),
                 wastedShare(summary),
                 scenario.hasBurst() ? recoveryMillis(records, to) : 0,
+                figures,
+                cluster.getFleet().getPlatform().getStore().getCalls(),
                 sumCounters(cluster),
                 ExperimentResult.toSeconds(records, (int) (totalMillis / MILLIS_PER_SECOND)),
                 toStages(records, runs, summary));
@@ -122,6 +127,12 @@
                 .count();
     }
 
+    private List<CallerRecord> judged(List<CallerRecord> records) {
+        return records.stream()
+                .filter(record -> scenario.isJudged(record.planned().template()))
+                .toList();
+    }
+
     private static double attainment(List<CallerRecord> records, long fromMillis, long toMillis) {
         int all = between(records, fromMillis, toMillis).size();
         return all == 0 ? 0 : countAttained(records, fromMillis, toMillis) / all;
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/ExperimentResult.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/ExperimentResult.java
@@ -18,6 +18,8 @@
  * @param goodputOfCapacity requests attained during the burst, or the whole run, as a share of the capacity
  * @param wastedShare the share of all work that no attained request used
  * @param recoveryMillis from the burst's end until every request is attained at normal latency, 0 without a burst
+ * @param figures figures of the fault itself
+ * @param platformCalls calls that the platform's key-value service received
  * @param counters what the instances counted
  * @param seconds one entry for each second
  * @param stages service time and cost of each stage
@@ -29,6 +31,8 @@
         double goodputOfCapacity,
         double wastedShare,
         long recoveryMillis,
+        Map<String, Double> figures,
+        long platformCalls,
         Map<String, Long> counters,
         List<Second> seconds,
         List<Stage> stages) {
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/instance/EntryInstance.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/instance/EntryInstance.java
@@ -4,14 +4,18 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.fuchsiawharf.core.claims.ClaimResult;
+import org.fuchsiawharf.core.config.ConfigService;
 import org.fuchsiawharf.core.loop.DecisionLoop;
 import org.fuchsiawharf.core.loop.EventProcessor;
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.model.EndpointStatus;
+import org.fuchsiawharf.core.model.Payload;
 import org.fuchsiawharf.core.model.ServingConfig;
 import org.fuchsiawharf.core.port.AttemptId;
 import org.fuchsiawharf.core.port.ClaimPort;
@@ -21,11 +25,13 @@
 import org.fuchsiawharf.core.request.Counters;
 import org.fuchsiawharf.core.request.InstanceDecisions;
 import org.fuchsiawharf.core.request.PolicySet;
+import org.fuchsiawharf.core.store.BudgetedStore;
 import org.fuchsiawharf.core.time.Clock;
 import org.fuchsiawharf.http.client.DirectoryPoller;
 import org.fuchsiawharf.http.client.EndpointEvents;
 import org.fuchsiawharf.http.client.HttpClient;
 import org.fuchsiawharf.http.client.HttpEndpointPort;
+import org.fuchsiawharf.http.client.HttpKeyValueStore;
 import org.fuchsiawharf.http.server.EntryServer;
 import org.fuchsiawharf.http.server.Readiness;
 
@@ -42,6 +48,8 @@
 public final class EntryInstance implements AutoCloseable {
     private static final int CLIENT_THREADS = 2;
     private static final int SERVER_THREADS = 2;
+    private static final long STORE_TIMEOUT_MILLIS = 500;
+    private static final double STORE_CALLS_PER_SECOND = 100;
 
     private final EntryOptions options;
     private final long startNanos = System.nanoTime();
@@ -55,8 +63,12 @@
     private final EntryServer server;
     private final EndpointEvents events;
     private final DirectoryPoller directory;
+    private final ClaimWorker claims;
+    private final ConfigWatcher watcher;
     private volatile ServingConfig config;
     private volatile boolean stopping;
+    private volatile boolean directoryRead;
+    private volatile boolean configRead;
 
     private EntryInstance(EntryOptions options) {
         this.options = options;
@@ -69,33 +81,39 @@
                 options.name(),
                 options.zone(),
                 policies,
-                new InstanceDecisions.Ports(late, ClaimPort.ALWAYS, new JsonRequestLog()),
+                new InstanceDecisions.Ports(late, late, new JsonRequestLog()),
                 () -> drained.complete(null),
                 clock.nanos());
         this.loop = new DecisionLoop(options.name(), (EventProcessor) decisions, clock);
         late.port = new HttpEndpointPort(client, loop);
+        HttpKeyValueStore remote = new HttpKeyValueStore(client, options.platform(), STORE_TIMEOUT_MILLIS);
+        BudgetedStore store = new BudgetedStore(remote, clock, STORE_CALLS_PER_SECOND);
+        this.claims = new ClaimWorker(options.name() + "#" + System.currentTimeMillis(), store, loop);
+        late.claims = claims;
+        ConfigService configs = new ConfigService(store, options.config(), System::currentTimeMillis);
+        this.watcher = new ConfigWatcher(options.name(), configs, this::onConfig);
         this.events = new EndpointEvents(client, loop);
         this.directory = new DirectoryPoller(client, options.platform(), options.directoryMillis(), this::onEndpoints);
         registerCounters();
         loop.start();
-        loop.publish(new Event.ConfigAdopted(config));
         this.server = new EntryServer(
                 options.host(),
                 options.port(),
                 SERVER_THREADS,
                 options.limits(),
-                options.operatorToken(),
-                new EntryServer.Parts(loop, () -> config, clock, readiness, metrics::scrape));
+                options.operators(),
+                new EntryServer.Parts(loop, () -> config, configs, clock, readiness, metrics::scrape));
     }
 
     /**
-     * Starts an instance, which is ready once it has read the directory.
+     * Starts an instance, which is ready once it has read directory and configuration.
      *
      * @param options what it is told, not null
      * @return the instance, never null
      */
     public static EntryInstance start(EntryOptions options) {
         EntryInstance instance = new EntryInstance(options);
+        instance.watcher.start();
         instance.directory.start();
         return instance;
     }
@@ -120,6 +138,15 @@
         return decisions.getCounters();
     }
 
+    /**
+     * Gets the revision of the configuration in force.
+     *
+     * @return the revision, 0 until a plan was confirmed
+     */
+    public long getRevision() {
+        return config.revision();
+    }
+
     /**
      * Tells whether it wants new requests.
      *
@@ -158,6 +185,8 @@
         stopping = true;
         readiness.setReady(false);
         directory.close();
+        watcher.close();
+        claims.close();
         events.close();
         server.close();
         client.close();
@@ -169,7 +198,19 @@
     private void onEndpoints(List<EndpointStatus> statuses) {
         loop.publish(new Event.EndpointsListed(statuses));
         events.follow(statuses);
-        if (!stopping) {
+        directoryRead = true;
+        becomeReady();
+    }
+
+    private void onConfig(ServingConfig loaded) {
+        config = loaded;
+        loop.publish(new Event.ConfigAdopted(loaded));
+        configRead = true;
+        becomeReady();
+    }
+
+    private void becomeReady() {
+        if (!stopping && directoryRead && configRead) {
             readiness.setReady(true);
         }
     }
@@ -186,7 +227,8 @@
     }
 
     /** Breaks the circle between the decisions, which send calls, and the loop, which takes the answers. */
-    private static final class LateBinding implements EndpointPort {
+    private static final class LateBinding implements EndpointPort, ClaimPort {
+        private ClaimPort claims = ClaimPort.ALWAYS;
         private EndpointPort port = new EndpointPort() {
             @Override
             public void call(StageCall call) {}
@@ -195,6 +237,16 @@
             public void cancel(AttemptId id, Endpoint endpoint) {}
         };
 
+        @Override
+        public void claim(String key, String request, Payload body, Consumer<ClaimResult> receiver) {
+            claims.claim(key, request, body, receiver);
+        }
+
+        @Override
+        public void release(String key, String request) {
+            claims.release(key, request);
+        }
+
         @Override
         public void call(StageCall call) {
             port.call(call);
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/instance/EntryOptions.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/instance/EntryOptions.java
@@ -4,6 +4,7 @@
 import org.fuchsiawharf.core.model.ServingConfig;
 import org.fuchsiawharf.core.util.Arguments;
 import org.fuchsiawharf.http.client.HttpTarget;
+import org.fuchsiawharf.http.server.Operators;
 import org.fuchsiawharf.http.server.ServerLimits;
 
 /**
@@ -20,7 +21,7 @@
  * @param objective what matters most
  * @param baseline whether the baseline policies replace the real ones, for measurements
  * @param limits bounds on callers
- * @param operatorToken the operators' bearer token, at least 8 characters
+ * @param operators who may use the operators' routes
  * @param notReadyMillis how long a stopping instance still takes requests while it reports not ready, 0 to
  *     60,000 ms
  * @param drainMillis how long a stopping instance waits for its requests, 0 to 600,000 ms
@@ -37,13 +38,11 @@
         Objective objective,
         boolean baseline,
         ServerLimits limits,
-        String operatorToken,
+        Operators operators,
         long notReadyMillis,
         long drainMillis,
         long seed,
         ServingConfig config) {
-    private static final int MIN_TOKEN_CHARS = 8;
-
     /**
      * Checks names and bounds.
      *
@@ -54,7 +53,6 @@
         Arguments.name(zone, "instance.zone");
         Arguments.between(port, 0, 65_535, "instance.port");
         Arguments.between(directoryMillis, 50, 60_000, "platform.directoryMillis");
-        Arguments.between(operatorToken.length(), MIN_TOKEN_CHARS, 1_000, "operator.token length");
         Arguments.between(notReadyMillis, 0, 60_000, "shutdown.notReadyMillis");
         Arguments.between(drainMillis, 0, 600_000, "shutdown.drainMillis");
     }
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/settings/EntrySettings.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/EntrySettings.java
@@ -1,11 +1,13 @@
 package org.fuchsiawharf.daemon.settings;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 
 import org.fuchsiawharf.core.model.Objective;
 import org.fuchsiawharf.daemon.instance.EntryOptions;
 import org.fuchsiawharf.http.client.HttpTarget;
+import org.fuchsiawharf.http.server.Operators;
 import org.fuchsiawharf.http.server.ServerLimits;
 
 /**
@@ -33,7 +35,6 @@
     private static EntryOptions toOptions(SettingsNode root, Path file) {
         SettingsNode instance = root.child("instance");
         SettingsNode platform = root.child("platform");
-        SettingsNode operator = root.child("operator");
         SettingsNode shutdown = root.child("shutdown");
         SettingsNode limits = root.child("limits");
         String name = instance.name("name");
@@ -45,12 +46,12 @@
         Objective objective = root.choice("objective", Objective.class, Objective.ATTAINMENT);
         boolean baseline = root.flag("baseline", false);
         ServerLimits serverLimits = toLimits(limits);
-        String token = operator.text("token", null);
+        Operators operators = toOperators(root);
         long notReadyMillis = shutdown.number("notReadyMillis", 0, 60_000, 1_000L);
         long drainMillis = shutdown.number("drainMillis", 0, 600_000, 120_000L);
         long seed = root.number("seed", Long.MIN_VALUE, Long.MAX_VALUE, System.nanoTime());
         String configuration = root.text("configuration", "configuration.yaml");
-        List.of(instance, platform, operator, shutdown, limits).forEach(SettingsNode::end);
+        List.of(instance, platform, shutdown, limits).forEach(SettingsNode::end);
         return new EntryOptions(
                 name,
                 zone,
@@ -61,13 +62,26 @@
                 objective,
                 baseline,
                 serverLimits,
-                token,
+                operators,
                 notReadyMillis,
                 drainMillis,
                 seed,
                 ConfigurationFile.read(file.resolveSibling(configuration)));
     }
 
+    private static Operators toOperators(SettingsNode root) {
+        List<Operators.Operator> all = new ArrayList<>();
+        for (SettingsNode node : root.children("operators")) {
+            Operators.Operator operator =
+                    node.build(n -> new Operators.Operator(n.name("name"), n.text("token", null)), null);
+            node.end();
+            if (operator != null) {
+                all.add(operator);
+            }
+        }
+        return new Operators(all);
+    }
+
     private static ServerLimits toLimits(SettingsNode node) {
         ServerLimits absent = ServerLimits.defaults();
         return new ServerLimits(
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/settings/SettingsFile.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/SettingsFile.java
@@ -55,7 +55,14 @@
         return parse(file).has(key);
     }
 
-    private static JsonNode parse(Path file) {
+    /**
+     * Reads a file as a tree.
+     *
+     * @param file the file, not null
+     * @return the tree, never null
+     * @throws WharfException if the file can't be read or is not YAML
+     */
+    static JsonNode parse(Path file) {
         try {
             return MAPPER.readTree(Files.readString(file));
         } catch (JsonProcessingException e) {
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/settings/StandinSettings.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/settings/StandinSettings.java
@@ -12,13 +12,13 @@
  * <p>Immutable and thread-safe.
  *
  * @param zones the availability zones
- * @param directoryPort the directory's TCP port, 0 for any free one
+ * @param platformPort the platform's TCP port, 0 for any free one
  * @param firstPort the first endpoint's TCP port, 0 for any free ones
  * @param seed the seed of jitter and losses
  * @param profiles the services
  */
 public record StandinSettings(
-        List<String> zones, int directoryPort, int firstPort, long seed, List<ServiceProfile> profiles) {
+        List<String> zones, int platformPort, int firstPort, long seed, List<ServiceProfile> profiles) {
     private static final int MAX_PORT = 65_535;
     private static final int MAX_MICROS = 60_000_000;
 
@@ -75,7 +75,7 @@
         }
         return new StandinSettings(
                 root.texts("zones"),
-                (int) root.number("directoryPort", 0, MAX_PORT, 0L),
+                (int) root.number("platformPort", 0, MAX_PORT, 0L),
                 (int) root.number("firstPort", 0, MAX_PORT, 0L),
                 root.number("seed", 0, Long.MAX_VALUE, 1L),
                 profiles);
--- a/http/src/main/java/org/fuchsiawharf/http/client/BodyCollector.java
+++ b/http/src/main/java/org/fuchsiawharf/http/client/BodyCollector.java
@@ -32,7 +32,7 @@
     /**
      * Gets the response to come.
      *
-     * @return completes with the response, or with the {@link IOException} that broke it; never null
+     * @return completes with the response, or with the {@link CallBrokenException} that ended it; never null
      */
     public CompletableFuture<Response> getFuture() {
         return future;
@@ -62,6 +62,6 @@
 
     @Override
     public void onFailure(boolean sent, IOException cause) {
-        future.completeExceptionally(cause);
+        future.completeExceptionally(new CallBrokenException(sent, cause));
     }
 }
--- a/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
+++ b/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
+import java.util.concurrent.RejectedExecutionException;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -55,12 +56,19 @@
 
     /** Ends the call; its connection is closed and its handler hears nothing more. */
     public void cancel() {
-        thread.execute(() -> {
-            if (!ended) {
-                ended = true;
-                abort();
-            }
-        });
+        try {
+            thread.execute(this::cancelNow);
+        } catch (RejectedExecutionException e) {
+            // The client is closing, and closes every connection.
+            return;
+        }
+    }
+
+    private void cancelNow() {
+        if (!ended) {
+            ended = true;
+            abort();
+        }
     }
 
     // -----------------------------------------------------------------------
--- a/http/src/main/java/org/fuchsiawharf/http/client/HttpClient.java
+++ b/http/src/main/java/org/fuchsiawharf/http/client/HttpClient.java
@@ -83,6 +83,25 @@
         return send(Methods.POST, target, path, headers, body, freshConnection, handler);
     }
 
+    /**
+     * Sends a PUT request on a connection of its own.
+     *
+     * @param target where to, not null
+     * @param path the path, not null
+     * @param headers the header fields besides Host and Content-Length, not null
+     * @param body the body, not null
+     * @param handler hears of the response, not null
+     * @return the call, never null
+     */
+    public HttpCall put(
+            HttpTarget target,
+            String path,
+            Map<HttpString, String> headers,
+            byte[] body,
+            HttpHandlerCallbacks handler) {
+        return send(Methods.PUT, target, path, headers, body, true, handler);
+    }
+
     /**
      * Sends a GET request.
      *
--- a/http/src/main/java/org/fuchsiawharf/http/server/EntryServer.java
+++ b/http/src/main/java/org/fuchsiawharf/http/server/EntryServer.java
@@ -10,6 +10,7 @@
 import io.undertow.server.RoutingHandler;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import org.fuchsiawharf.core.config.ConfigService;
 import org.fuchsiawharf.core.model.ServingConfig;
 import org.fuchsiawharf.core.port.EventSink;
 import org.fuchsiawharf.core.time.Clock;
@@ -25,6 +26,7 @@
     private static final int IDLE_TIMEOUT_MILLIS = 180_000;
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int MAX_HEADERS = 64;
+    private static final int OPERATOR_THREADS = 4;
     private static final int BACKLOG = 1_024;
 
     private final Undertow undertow;
@@ -34,6 +36,7 @@
      *
      * @param sink takes the requests
      * @param config the configuration in force
+     * @param configs plans and confirms changes of it
      * @param clock the decisions' clock
      * @param readiness whether new requests are wanted
      * @param metrics renders the metrics
@@ -41,6 +44,7 @@
     public record Parts(
             EventSink sink,
             Supplier<ServingConfig> config,
+            ConfigService configs,
             Clock clock,
             Readiness readiness,
             Supplier<String> metrics) {}
@@ -52,17 +56,23 @@
      * @param port the TCP port, 0 for any free one
      * @param ioThreads the number of I/O threads, at least 1
      * @param limits bounds on callers, not null
-     * @param operatorToken the operators' bearer token, not null
+     * @param operators who may use the operators' routes, not null
      * @param parts what it needs of its instance, not null
      */
-    public EntryServer(String host, int port, int ioThreads, ServerLimits limits, String operatorToken, Parts parts) {
+    public EntryServer(String host, int port, int ioThreads, ServerLimits limits, Operators operators, Parts parts) {
         EventSink sink = parts.sink();
         RequestReader reader = new RequestReader(parts.clock(), limits);
         CallerHandler callers = new CallerHandler(sink, parts.config(), reader, limits);
+        ConfigHandlers configs = new ConfigHandlers(operators, parts.configs());
         RoutingHandler routes = Handlers.routing()
                 .post("/v1/pipelines/{pipeline}/requests", callers)
                 .post("/v1/services/{service}/{call}", callers)
-                .get("/v1/status", new OperatorHandler(sink, operatorToken))
+                .get("/v1/status", new StatusHandler(sink, operators))
+                .post("/v1/plans", configs.plan())
+                .get("/v1/plans/{id}", configs.showPlan())
+                .post("/v1/plans/{id}/confirm", configs.confirm())
+                .get("/v1/config", configs.showConfig())
+                .get("/v1/audit", configs.audit())
                 .get("/health/live", exchange -> exchange.getResponseSender().send("live\n"))
                 .get("/health/ready", readyHandler(parts.readiness()))
                 .get("/metrics", exchange -> {
@@ -72,7 +82,7 @@
         undertow = Undertow.builder()
                 .addHttpListener(port, host)
                 .setIoThreads(ioThreads)
-                .setWorkerThreads(1)
+                .setWorkerThreads(OPERATOR_THREADS)
                 .setWorkerOption(Options.THREAD_DAEMON, true)
                 .setSocketOption(Options.BACKLOG, BACKLOG)
                 .setSocketOption(Options.TCP_NODELAY, true)
--- a/http/src/main/java/org/fuchsiawharf/http/server/OperatorHandler.java
+++ b/http/src/main/java/org/fuchsiawharf/http/server/StatusHandler.java
@@ -1,40 +1,31 @@
 package org.fuchsiawharf.http.server;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import io.undertow.util.StatusCodes;
 import org.fuchsiawharf.core.port.Event;
 import org.fuchsiawharf.core.port.EventSink;
 import org.fuchsiawharf.http.JsonText;
 import org.fuchsiawharf.http.WireHeaders;
 
 /**
- * Answers operators who show the bearer token of the instance's settings.
+ * Shows operators what the instance knows.
  *
  * <p>Thread-safe.
  */
-final class OperatorHandler implements HttpHandler {
+final class StatusHandler implements HttpHandler {
     private final EventSink sink;
-    private final byte[] expected;
+    private final Operators operators;
 
-    OperatorHandler(EventSink sink, String token) {
+    StatusHandler(EventSink sink, Operators operators) {
         this.sink = sink;
-        this.expected = ("Bearer " + token).getBytes(StandardCharsets.UTF_8);
+        this.operators = operators;
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        String given = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
-        byte[] shown = given == null ? new byte[0] : given.getBytes(StandardCharsets.UTF_8);
-        if (!MessageDigest.isEqual(expected, shown)) {
-            exchange.setStatusCode(StatusCodes.UNAUTHORIZED);
-            exchange.getResponseHeaders().put(Headers.WWW_AUTHENTICATE, "Bearer");
-            exchange.endExchange();
+        if (operators.identify(exchange) == null) {
             return;
         }
         exchange.dispatch(
--- a/standin/src/main/java/org/fuchsiawharf/standin/DirectoryStandin.java
+++ b/standin/src/main/java/org/fuchsiawharf/standin/PlatformStandin.java
@@ -7,37 +7,42 @@
 
 import io.undertow.Handlers;
 import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.http.JsonText;
+import org.xnio.IoUtils;
 import org.xnio.Options;
 
 /**
- * The platform's list of live and leaving endpoints, which lags behind the truth.
+ * The platform: a list of live and leaving endpoints that lags behind the truth, and a key-value service.
  *
  * <p>Thread-safe.
  */
-public final class DirectoryStandin implements AutoCloseable {
+public final class PlatformStandin implements AutoCloseable {
     private final Undertow server;
     private final StandinRuntime runtime;
     private final long lagMillis;
+    private final StoreStandin values = new StoreStandin();
+    private volatile boolean down;
     private volatile List<Line> listed = List.of();
 
     /**
-     * Starts a directory without endpoints.
+     * Starts a platform without endpoints and values.
      *
      * @param runtime its threads, not null
      * @param port its TCP port, 0 for any free one
      * @param lagMillis how long a change takes to show, in milliseconds
      */
-    public DirectoryStandin(StandinRuntime runtime, int port, long lagMillis) {
+    public PlatformStandin(StandinRuntime runtime, int port, long lagMillis) {
         this.runtime = runtime;
         this.lagMillis = lagMillis;
         this.server = Undertow.builder()
                 .setWorker(runtime.getWorker())
                 .addHttpListener(port, "127.0.0.1")
                 .setSocketOption(Options.BACKLOG, 1_024)
-                .setHandler(Handlers.routing().get("/v1/instances", exchange -> exchange.getResponseSender()
-                        .send(JsonText.write(new Listing(listed)))))
+                .setHandler(Handlers.path()
+                        .addPrefixPath("/v1/kv", values::handle)
+                        .addExactPath("/v1/instances", this::list))
                 .build();
         server.start();
     }
@@ -47,7 +52,16 @@
     private record Listing(List<Line> instances) {}
 
     /**
-     * Gets the directory's port.
+     * Gets the key-value service.
+     *
+     * @return the service with its faults, never null
+     */
+    public StoreStandin getStore() {
+        return values;
+    }
+
+    /**
+     * Gets the platform's port.
      *
      * @return the TCP port
      */
@@ -78,6 +92,24 @@
         runtime.getScheduler().schedule(() -> setNow(live, leaving), lagMillis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Sets whether the whole platform is down: directory and key-value service.
+     *
+     * @param now whether it is
+     */
+    public void setDown(boolean now) {
+        down = now;
+        values.setDown(now);
+    }
+
+    private void list(HttpServerExchange exchange) {
+        if (down) {
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        exchange.getResponseSender().send(JsonText.write(new Listing(listed)));
+    }
+
     @Override
     public void close() {
         server.stop();
