Test instances as processes behind a fault-injecting proxy

Change: a Netty proxy in test scope (delay, answers cut, half-open, reset) between three entry processes and every endpoint and the platform; SIGKILL, SIGSTOP and SIGCONT, SIGTERM; the endpoints' ledger judges.

--- /dev/null
+++ b/daemon/src/test/java/org/fuchsiawharf/daemon/process/TestRealProcesses.java
@@ -0,0 +1,224 @@
+package org.fuchsiawharf.daemon.process;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.daemon.load.Balancer;
+import org.fuchsiawharf.daemon.load.CallerRecord;
+import org.fuchsiawharf.daemon.load.CallerRecord.Result;
+import org.fuchsiawharf.daemon.load.LoadRunner;
+import org.fuchsiawharf.daemon.load.LoadSchedule;
+import org.fuchsiawharf.daemon.load.LoadSummary;
+import org.fuchsiawharf.daemon.load.RequestTemplate;
+import org.fuchsiawharf.http.client.HttpClient;
+import org.fuchsiawharf.http.client.HttpTarget;
+import org.fuchsiawharf.standin.ServiceProfile;
+import org.fuchsiawharf.standin.StandinFleet;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+/** Entry instances as processes, behind fault-injecting proxies; the endpoints' ledger judges what callers hear. */
+class TestRealProcesses {
+    private static final String CONFIGURATION =
+            """
+            pipelines:
+              - name: feedback
+                stages:
+                  - {name: encode, service: encoder}
+                  - {name: generate, service: llm, streaming: true}
+              - name: assessment
+                stages:
+                  - {name: encode, service: encoder}
+                  - {name: verdict, service: llm, streaming: true, repeatable: false}
+            services:
+              - name: billing
+                calls:
+                  - {name: charge, repeatable: false}
+            workspaces:
+              - {name: learners}
+            """;
+    private static final List<RequestTemplate> TEMPLATES = List.of(
+            template("/v1/pipelines/feedback/requests", 20, false, false),
+            template("/v1/pipelines/feedback/requests", 20, true, false),
+            template("/v1/pipelines/assessment/requests", 20, false, true),
+            template("/v1/services/billing/charge", 0, false, true));
+    private static final Set<String> UNSAFE = Set.of("verdict", "charge");
+    private static final double PER_SECOND = 25;
+
+    @TempDir
+    private Path folder = Path.of(".");
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final Map<String, FaultProxy> proxies = new LinkedHashMap<>();
+    private final List<EntryProcess> entries = new ArrayList<>();
+    private final List<HttpTarget> targets = new ArrayList<>();
+    private final HttpClient callers = new HttpClient("callers", 2);
+    private final ExecutorService faults = Executors.newSingleThreadExecutor();
+    private final StandinFleet fleet = new StandinFleet(
+            List.of("a", "b"),
+            List.of(
+                    ServiceProfile.pool("encoder", 2, 2_000),
+                    new ServiceProfile("llm", ServiceProfile.Kind.ENGINE, 3, 16, 32, 4_000, 100, 1_000, 8),
+                    ServiceProfile.pool("billing", 2, 2_000)),
+            0,
+            0,
+            1);
+
+    private static RequestTemplate template(String path, int tokens, boolean stream, boolean keyed) {
+        return new RequestTemplate(path, List.of("learners"), 1, 4_000, tokens, stream, keyed, 0);
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        List<Endpoint> listed = new ArrayList<>();
+        for (Endpoint endpoint : fleet.getEndpoints()) {
+            FaultProxy proxy = new FaultProxy(group, endpoint.port());
+            proxies.put(endpoint.name(), proxy);
+            listed.add(
+                    new Endpoint(endpoint.name(), endpoint.service(), endpoint.zone(), "127.0.0.1", proxy.getPort()));
+        }
+        fleet.getPlatform().setNow(listed, List.of());
+        FaultProxy platform = new FaultProxy(group, fleet.getPlatform().getPort());
+        proxies.put("platform", platform);
+        for (int i = 1; i <= 3; i++) {
+            Path own = Files.createDirectory(folder.resolve("entry" + i));
+            entries.add(new EntryProcess(own, "entry-" + i, i == 1 ? "a" : "b", platform.getPort(), CONFIGURATION));
+        }
+        for (EntryProcess entry : entries) {
+            targets.add(entry.awaitTarget());
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        entries.forEach(EntryProcess::close);
+        proxies.values().forEach(FaultProxy::close);
+        faults.shutdownNow();
+        callers.close();
+        fleet.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    // -----------------------------------------------------------------------
+
+    @ParameterizedTest
+    @EnumSource(FaultProxy.Mode.class)
+    void keepsEveryPromiseWhenAnEngineIsBehindAFault(FaultProxy.Mode mode) throws Exception {
+        List<CallerRecord> records = runWhile(() -> {
+            TimeUnit.MILLISECONDS.sleep(600);
+            proxy("llm-1").setMode(mode);
+            TimeUnit.MILLISECONDS.sleep(1_200);
+            proxy("llm-1").setMode(FaultProxy.Mode.PASS);
+            return null;
+        });
+        assertKept(records);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = FaultProxy.Mode.class,
+            names = {"CUT_ANSWERS", "HALF_OPEN", "RESET"})
+    void keepsEveryPromiseWhenThePlatformIsBehindAFault(FaultProxy.Mode mode) throws Exception {
+        List<CallerRecord> records = runWhile(() -> {
+            TimeUnit.MILLISECONDS.sleep(600);
+            proxy("platform").setMode(mode);
+            TimeUnit.MILLISECONDS.sleep(1_500);
+            proxy("platform").setMode(FaultProxy.Mode.PASS);
+            return null;
+        });
+        assertKept(records);
+    }
+
+    @Test
+    void runsNothingTwiceWhenAnInstanceIsKilled() throws Exception {
+        List<CallerRecord> records = runWhile(() -> {
+            TimeUnit.MILLISECONDS.sleep(1_000);
+            entries.get(0).kill();
+            return null;
+        });
+        LoadSummary summary = summarize(records);
+        // Requests on the killed instance have no answer; nothing else may be wrong.
+        assertThat(summary.toString(), summary.doubled() + summary.crossed() + summary.falseNotRun(), is(0));
+        assertThat(summary.answered(), is(greaterThan(0)));
+    }
+
+    @Test
+    void runsNothingTwiceWhenAnInstanceIsPausedAndGoesOn() throws Exception {
+        List<CallerRecord> records = runWhile(() -> {
+            TimeUnit.MILLISECONDS.sleep(800);
+            entries.get(1).signal("STOP");
+            TimeUnit.MILLISECONDS.sleep(1_500);
+            entries.get(1).signal("CONT");
+            return null;
+        });
+        LoadSummary summary = summarize(records);
+        assertThat(summary.toString(), summary.doubled() + summary.crossed() + summary.falseNotRun(), is(0));
+    }
+
+    @Test
+    void cutsNothingWhenAnInstanceIsToldToStop() throws Exception {
+        List<CallerRecord> records = runWhile(() -> {
+            TimeUnit.MILLISECONDS.sleep(800);
+            entries.get(2).terminate();
+            return null;
+        });
+        assertKept(records);
+        assertThat(entries.get(2).awaitExit(), is(true));
+    }
+
+    // -----------------------------------------------------------------------
+
+    private FaultProxy proxy(String name) {
+        return Objects.requireNonNull(proxies.get(name));
+    }
+
+    private List<CallerRecord> runWhile(Callable<Object> fault) throws Exception {
+        try (Balancer balancer = new Balancer(callers, targets)) {
+            for (int i = 0; i < 300 && balancer.getReady() < targets.size(); i++) {
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+            TimeUnit.MILLISECONDS.sleep(500);
+            Future<Object> caused = faults.submit(fault);
+            LoadRunner runner = new LoadRunner(callers, balancer, (sent, ended, attained) -> {});
+            List<CallerRecord> records =
+                    runner.run(LoadSchedule.of(TEMPLATES, List.of(new LoadSchedule.Phase(PER_SECOND, 3_000)), "p-", 1));
+            caused.get(30, TimeUnit.SECONDS);
+            return records;
+        }
+    }
+
+    private LoadSummary summarize(List<CallerRecord> records) {
+        return LoadSummary.of(records, fleet.getLedger().toPage().runs(), UNSAFE);
+    }
+
+    private void assertKept(List<CallerRecord> records) {
+        LoadSummary summary = summarize(records);
+        assertThat(summary.toString(), summary.isSafe(), is(true));
+        long answered =
+                records.stream().filter(r -> r.result() == Result.ANSWERED).count();
+        assertThat(answered, is(greaterThan(0L)));
+    }
+}
