Let every endpoint beyond a cut be ejected while the own zone serves

Cause: the cap on ejections, a third of a pool, keeps two cut-off zones' endpoints in use: a cut of two zones of three is two thirds of them.

Change: failing endpoints of other availability zones may all be ejected while one of the own zone is usable; the cap stays for slowness and the own zone.

Conclusion: a cut-off zone serves what it can reach.

--- a/core/src/main/java/org/fuchsiawharf/core/health/OutlierEjection.java
+++ b/core/src/main/java/org/fuchsiawharf/core/health/OutlierEjection.java
@@ -12,7 +12,8 @@
 /**
  * Ejects endpoints that fail in a row or are several times slower than the median of their pool.
  *
- * <p>At most a fixed share of a pool is ejected, so that a fault common to all ejects few. Each ejection lasts
+ * <p>At most a fixed share of a pool is ejected, so that a fault common to all ejects few; but endpoints of other
+ * availability zones that fail may all be, for as long as one of the own zone is usable. Each ejection lasts
  * longer than the one before; one probe at a time is let through afterwards, and a good one readmits the endpoint
  * with a growing share. Confined to the decision loop.
  */
@@ -67,7 +68,14 @@
             prolong(state, nowNanos);
             return false;
         }
-        return (unreachable || failures >= MAX_CONSECUTIVE_FAILURES) && eject(pool, state, nowNanos);
+        if (!unreachable && failures < MAX_CONSECUTIVE_FAILURES) {
+            return false;
+        }
+        if (isBeyondACut(pool, state)) {
+            prolong(state, nowNanos);
+            return true;
+        }
+        return eject(pool, state, nowNanos);
     }
 
     @Override
@@ -122,6 +130,19 @@
         return means[count / 2];
     }
 
+    // A cut between availability zones makes all endpoints of the others fail; the own ones go on.
+    private static boolean isBeyondACut(ServicePool pool, EndpointState state) {
+        if (state.isOwnZone()) {
+            return false;
+        }
+        for (EndpointState member : pool.getMembers()) {
+            if (member.isOwnZone() && member.isUsable()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static boolean eject(ServicePool pool, EndpointState state, long nowNanos) {
         int ejected = 0;
         for (EndpointState member : pool.getMembers()) {
--- a/daemon/src/test/java/org/fuchsiawharf/daemon/process/FaultProxy.java
+++ b/daemon/src/test/java/org/fuchsiawharf/daemon/process/FaultProxy.java
@@ -135,7 +135,7 @@
                     }
                 }
                 case HALF_OPEN -> ReferenceCountUtil.release((ByteBuf) message);
-                case RESET -> {
+                default -> {
                     ReferenceCountUtil.release((ByteBuf) message);
                     reset(context.channel());
                 }
--- a/daemon/src/test/java/org/fuchsiawharf/daemon/process/TestRealProcesses.java
+++ b/daemon/src/test/java/org/fuchsiawharf/daemon/process/TestRealProcesses.java
@@ -152,6 +152,33 @@
         assertKept(records);
     }
 
+    @Test
+    void servesItsOwnZoneWhenCutOffFromTheRestAndThePlatform() throws Exception {
+        targets.subList(1, targets.size()).clear();
+        List<CallerRecord> records = runWhile(() -> {
+            TimeUnit.MILLISECONDS.sleep(500);
+            setModeOfZoneB(FaultProxy.Mode.HALF_OPEN);
+            TimeUnit.MILLISECONDS.sleep(2_500);
+            setModeOfZoneB(FaultProxy.Mode.PASS);
+            return null;
+        });
+        assertKept(records);
+        long idempotent = records.stream()
+                .filter(r -> !r.planned().template().keyed())
+                .filter(r -> r.result() != Result.ANSWERED)
+                .count();
+        assertThat(summarize(records).toString(), idempotent, is(0L));
+    }
+
+    private void setModeOfZoneB(FaultProxy.Mode mode) {
+        proxy("platform").setMode(mode);
+        for (Endpoint endpoint : fleet.getEndpoints()) {
+            if (endpoint.zone().equals("b")) {
+                proxy(endpoint.name()).setMode(mode);
+            }
+        }
+    }
+
     @Test
     void runsNothingTwiceWhenAnInstanceIsKilled() throws Exception {
         List<CallerRecord> records = runWhile(() -> {
