--- a/core/src/main/java/org/fuchsiawharf/core/request/StageRunner.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/StageRunner.java
@@ -14,10 +14,8 @@
 import org.fuchsiawharf.core.port.StageCall;
 import org.fuchsiawharf.core.retry.HedgePolicy;
 import org.fuchsiawharf.core.retry.RetryPolicy;
-import org.fuchsiawharf.core.retry.TimeoutPolicy;
 import org.fuchsiawharf.core.routing.EndpointState;
 import org.fuchsiawharf.core.routing.EndpointTable;
-import org.fuchsiawharf.core.routing.LatencyEstimate;
 import org.fuchsiawharf.core.routing.ServicePool;
 import org.fuchsiawharf.core.time.TimerService;
 
@@ -31,7 +29,6 @@
 final class StageRunner {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long NANOS_PER_MICRO = 1_000;
-    private static final double CONTINUE_DEVIATIONS = 0;
 
     private final String instance;
     private final ActiveRequests requests;
@@ -44,6 +41,8 @@
     private final Counters counters;
     private final SafetyRules rules;
     private final RequestEnd end;
+    private final WaitingRequests waiting;
+    private final AttemptTimeouts timeouts;
 
     /** Ends requests for the runner. */
     interface RequestEnd {
@@ -77,6 +76,8 @@
         this.counters = state.counters();
         this.rules = state.rules();
         this.end = end;
+        this.waiting = new WaitingRequests(state, policies.admission(), this::tryDispatch, end);
+        this.timeouts = new AttemptTimeouts(state, policies.timeout(), port, this::fail);
     }
 
     // -----------------------------------------------------------------------
@@ -92,14 +93,14 @@
         }
         StageSpec stage = active.stageSpec();
         ServicePool pool = table.getPool(stage.service());
-        if (!isWorthContinuing(active)) {
+        if (!waiting.isWorthContinuing(active)) {
             end.refuse(active, ErrorCode.DEADLINE_UNREACHABLE, "too little time is left for stage " + stage.name());
         } else if (!pool.isServing()) {
             end.refuse(active, ErrorCode.NO_ENDPOINT, "service " + stage.service() + " has no endpoint that serves");
         } else {
             boolean queueIsEmpty = queues.get(stage.service()).queue().size() == 0;
             if (!queueIsEmpty || !tryDispatch(active)) {
-                enqueue(active);
+                waiting.enqueue(active);
             }
         }
     }
@@ -110,74 +111,18 @@
      * @param service the service's name, not null
      */
     void pump(String service) {
-        StageQueues.Waiting waiting = queues.get(service);
-        while (waiting.queue().size() > 0) {
-            ActiveRequest next = waiting.queue().poll();
-            if (next == null) {
-                return;
-            }
-            next.queued = false;
-            if (!isWorthContinuing(next)) {
-                end.refuse(next, ErrorCode.OVERLOADED, "waited too long for service " + service);
-            } else if (tryDispatch(next)) {
-                waiting.rate().onDeparture(timers.now(), waiting.queue().size() > 0);
-            } else {
-                requeue(next, waiting);
-                return;
-            }
-        }
+        waiting.pump(service);
     }
 
     /** Lets ejected endpoints be probed and queues move on; called at a fixed interval. */
     void tick() {
         for (String service : List.copyOf(queues.getAll().keySet())) {
             policies.health().allowProbes(table.getPool(service), timers.now());
-            refuseOverdue(service);
+            waiting.refuseOverdue(service);
             pump(service);
         }
     }
 
-    // A request that would not be served in time hears so now, not at its deadline.
-    private void refuseOverdue(String service) {
-        for (ActiveRequest active : queues.get(service).queue().toList()) {
-            double waited = timers.now() - active.queuedNanos;
-            if (waited > policies.admission().getMaxQueueNanos() || !isWorthContinuing(active)) {
-                end.refuse(active, ErrorCode.OVERLOADED, "waited too long for service " + service);
-            }
-        }
-    }
-
-    private boolean isWorthContinuing(ActiveRequest active) {
-        long now = timers.now();
-        double work = estimates.getWork(active.pipeline(), active.stage, CONTINUE_DEVIATIONS, now);
-        if (active.tokens > 0) {
-            // A stream that goes on elsewhere needs only the rest of its time.
-            work = 0;
-        }
-        return policies.admission().isWorthContinuing(active.remainingNanos(now), work);
-    }
-
-    private void enqueue(ActiveRequest active) {
-        StageQueues.Waiting waiting = queues.get(active.stageSpec().service());
-        counters.add(Counters.Name.QUEUED);
-        active.queuedNanos = timers.now();
-        requeue(active, waiting);
-    }
-
-    private void requeue(ActiveRequest active, StageQueues.Waiting waiting) {
-        active.queued = waiting.queue()
-                .offer(
-                        active,
-                        active.request.workspace(),
-                        active.request.priority(),
-                        active.request.deadlineNanos(),
-                        active.queuedNanos);
-        if (!active.queued) {
-            String service = active.stageSpec().service();
-            end.refuse(active, ErrorCode.OVERLOADED, "the queue of service " + service + " is full");
-        }
-    }
-
     // -----------------------------------------------------------------------
 
     private boolean tryDispatch(ActiveRequest active) {
@@ -202,7 +147,7 @@
         active.open.add(attempt);
         state.onSent();
         counters.add(Counters.Name.CALLS);
-        armTimeout(active, attempt);
+        timeouts.arm(active, attempt);
         port.call(toCall(active, attempt, false));
     }
 
@@ -250,41 +195,6 @@
 
     // -----------------------------------------------------------------------
 
-    private void armTimeout(ActiveRequest active, Attempt attempt) {
-        if (!attempt.stage.repeatable()) {
-            return;
-        }
-        TimeoutPolicy policy = policies.timeout();
-        long timeout = policy.getAnswerTimeout(answerEstimate(active), active.remainingNanos(timers.now()));
-        if (timeout != TimeoutPolicy.NO_TIMEOUT) {
-            attempt.timer = timers.schedule(timers.now() + timeout, () -> checkProgress(active, attempt));
-        }
-    }
-
-    private LatencyEstimate answerEstimate(ActiveRequest active) {
-        return estimates.get(active.pipeline(), active.stage);
-    }
-
-    private void checkProgress(ActiveRequest active, Attempt attempt) {
-        if (active.done || !active.open.contains(attempt)) {
-            return;
-        }
-        long silent = timers.now() - attempt.progressNanos;
-        long allowed = attempt.tokenSeen
-                ? policies.timeout().getTokenTimeout(attempt.state.getTokenGap())
-                : timers.now() - attempt.sentNanos;
-        if (silent >= allowed) {
-            port.cancel(attempt.id, attempt.state.getEndpoint());
-            counters.add(Counters.Name.CANCELS);
-            fail(active, attempt, CallFailure.TIMEOUT, "no answer within " + silent / NANOS_PER_MILLI + " ms");
-        } else {
-            long due = attempt.progressNanos + allowed;
-            attempt.timer = timers.schedule(due, () -> checkProgress(active, attempt));
-        }
-    }
-
-    // -----------------------------------------------------------------------
-
     /**
      * Takes in a token for an open attempt.
      *
@@ -457,7 +367,7 @@
         attempt.reconnected = true;
         active.open.add(attempt);
         attempt.state.onSent();
-        armTimeout(active, attempt);
+        timeouts.arm(active, attempt);
         port.call(toCall(active, attempt, true));
     }
 
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/Main.java
@@ -87,10 +87,10 @@
     }
 
     private static int run(Command command, String[] args, PrintStream out, PrintStream err) {
-        configureLogs(args);
+        configureLogs(command, args);
         OptionParser parser = new OptionParser();
         parser.accepts(HELP, "shows this page");
-        parser.accepts("verbose", "logs each request");
+        parser.accepts("verbose", "logs each request; entry always does");
         command.declare(parser);
         try {
             OptionSet options = parser.parse(args);
@@ -122,7 +122,7 @@
     }
 
     // Log lines go to standard error, so that results on standard output stay apart.
-    private static void configureLogs(String[] args) {
+    private static void configureLogs(Command command, String[] args) {
         LogManager.getLogManager().reset();
         ConsoleHandler handler = new ConsoleHandler();
         handler.setFormatter(new JsonLineFormatter());
@@ -130,7 +130,8 @@
         Logger root = Logger.getLogger("");
         root.addHandler(handler);
         root.setLevel(Level.WARNING);
-        boolean requests = args.length > 0 && Arrays.asList(args).contains("--verbose");
+        boolean requests =
+                command instanceof EntryCommand || Arrays.asList(args).contains("--verbose");
         Logger.getLogger("org.fuchsiawharf").setLevel(requests ? Level.INFO : Level.WARNING);
     }
 }
--- a/http/src/main/java/org/fuchsiawharf/http/client/EndpointEvents.java
+++ b/http/src/main/java/org/fuchsiawharf/http/client/EndpointEvents.java
@@ -28,6 +28,7 @@
  */
 public final class EndpointEvents implements AutoCloseable {
     private static final long REOPEN_MILLIS = 500;
+    private static final long REPORT_MILLIS = 1_000;
 
     private final HttpClient client;
     private final EventSink sink;
@@ -99,7 +100,7 @@
                 parser = new EventStreamParser(this::onEvent);
                 call = client.get(
                         HttpTarget.of(endpoint),
-                        WireHeaders.EVENTS_PATH,
+                        WireHeaders.EVENTS_PATH + "?interval=" + REPORT_MILLIS,
                         Map.of(Headers.ACCEPT, WireHeaders.EVENT_STREAM),
                         this);
             }
--- a/standin/src/main/java/org/fuchsiawharf/standin/EndpointStandin.java
+++ b/standin/src/main/java/org/fuchsiawharf/standin/EndpointStandin.java
@@ -3,6 +3,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
@@ -40,7 +41,9 @@
     private final Undertow server;
     private final Endpoint endpoint;
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
-    private final Set<ServerSentEventConnection> subscribers = ConcurrentHashMap.newKeySet();
+    // Each subscriber with the number of reports between two that it wants.
+    private final Map<ServerSentEventConnection, Long> subscribers = new ConcurrentHashMap<>();
+    private long nextReport;
     private final ScheduledFuture<?> reports;
     private final SplittableRandom random;
     private long cacheSequence;
@@ -187,7 +190,9 @@
     // -----------------------------------------------------------------------
 
     private void onSubscribe(ServerSentEventConnection connection) {
-        subscribers.add(connection);
+        String interval = connection.getParameter("interval");
+        long wanted = interval == null ? REPORT_MILLIS : Long.parseLong(interval);
+        subscribers.put(connection, Math.max(1, wanted / REPORT_MILLIS));
         connection.addCloseTask(subscribers::remove);
         if (closed) {
             IoUtils.safeClose(connection);
@@ -195,8 +200,9 @@
     }
 
     private void report() {
+        long number = nextReport++;
         if (!closed && !subscribers.isEmpty()) {
-            sendLater("load", JsonText.write(model.getLoad()));
+            sendLater("load", JsonText.write(model.getLoad()), number);
         }
     }
 
@@ -204,15 +210,19 @@
         record Change(long sequence, String prefix, boolean present) {}
         Change change = new Change(cacheSequence++, prefix, present);
         if (random.nextDouble() >= CACHE_EVENT_LOSS) {
-            sendLater("cache", JsonText.write(change));
+            sendLater("cache", JsonText.write(change), 0);
         }
     }
 
-    private void sendLater(String type, String data) {
-        runtime.getScheduler()
-                .schedule(
-                        () -> subscribers.forEach(subscriber -> subscriber.send(data, type, null, null)),
-                        REPORT_LAG_MILLIS,
-                        TimeUnit.MILLISECONDS);
+    private void sendLater(String type, String data, long number) {
+        runtime.getScheduler().schedule(() -> send(type, data, number), REPORT_LAG_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void send(String type, String data, long number) {
+        subscribers.forEach((subscriber, every) -> {
+            if (number % every == 0) {
+                subscriber.send(data, type, null, null);
+            }
+        });
     }
 }
