Refuse a key used with another body through any instance; mend the report interval

Cause: a repeat with another body through another instance was told unknown. The fault proxy failed a test when a channel had closed before its reset.

Change: claims compare bodies; the stand-in reads the interval from the query; the proxy takes a closed channel for a reset one; the tick survives a failing task; a test of a caller that does not read its stream.

--- a/core/src/main/java/org/fuchsiawharf/core/claims/ClaimCommitter.java
+++ b/core/src/main/java/org/fuchsiawharf/core/claims/ClaimCommitter.java
@@ -110,7 +110,8 @@
             } else if (present != null
                     && present.atMillis() >= oldest
                     && !present.holder().equals(claim.holder())) {
-                results.put(claim, ClaimResult.held(present));
+                boolean sameBody = present.bodyHash().equals(claim.bodyHash());
+                results.put(claim, sameBody ? ClaimResult.held(present) : ClaimResult.otherBody(present));
             } else {
                 // The instance itself made the earlier claim, and has ended that request without a run.
                 page.claims().put(claim.key(), claim);
@@ -137,8 +138,8 @@
         Map<Claim, ClaimResult> known = new HashMap<>();
         for (Claim claim : new ArrayList<>(wanted)) {
             ClaimResult result = results.get(claim);
-            boolean held = !unknown && result != null && result.status() == ClaimResult.Status.HELD;
-            known.put(claim, held ? result : ClaimResult.unavailable());
+            boolean taken = !unknown && result != null && result.status() != ClaimResult.Status.GRANTED;
+            known.put(claim, taken ? result : ClaimResult.unavailable());
         }
         return known;
     }
--- a/core/src/main/java/org/fuchsiawharf/core/claims/ClaimResult.java
+++ b/core/src/main/java/org/fuchsiawharf/core/claims/ClaimResult.java
@@ -17,6 +17,8 @@
         GRANTED,
         /** Another claim stands for the key. */
         HELD,
+        /** Another claim stands for the key, made with another body. */
+        OTHER_BODY,
         /** It is not known that the claim stands: its request must not run. */
         UNAVAILABLE
     }
@@ -40,6 +42,16 @@
         return new ClaimResult(Status.HELD, earlier);
     }
 
+    /**
+     * Creates the result of a claim whose key was used with another body.
+     *
+     * @param earlier the claim that stands, not null
+     * @return the result, never null
+     */
+    public static ClaimResult otherBody(Claim earlier) {
+        return new ClaimResult(Status.OTHER_BODY, earlier);
+    }
+
     /**
      * Creates the result of a claim that could not be made.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
@@ -234,6 +234,10 @@
                 active.claimed = false;
                 refuse(active, ErrorCode.CLAIM_ELSEWHERE, "another instance has taken a request with this key");
                 break;
+            case OTHER_BODY:
+                active.claimed = false;
+                refuse(active, ErrorCode.IDEMPOTENCY_KEY_REUSED, "the idempotency key was used with another body");
+                break;
             default:
                 refuse(active, ErrorCode.STORE_UNAVAILABLE, "the idempotency key can't be claimed at present");
                 break;
@@ -331,8 +335,8 @@
     }
 
     private void tick() {
-        runner.tick();
         timers.schedule(timers.now() + TICK_NANOS, this::tick);
+        runner.tick();
     }
 
     // -----------------------------------------------------------------------
--- a/core/src/test/java/org/fuchsiawharf/core/claims/TestClaimCommitter.java
+++ b/core/src/test/java/org/fuchsiawharf/core/claims/TestClaimCommitter.java
@@ -52,6 +52,13 @@
         assertThat(result, is(ClaimResult.held(first)));
     }
 
+    @Test
+    void refusesAKeyThatWasUsedWithAnotherBody() {
+        make(committer(), claim("k", "a", "1"));
+        Claim other = new Claim("k", "b", "1", "other hash", now);
+        assertThat(make(committer(), other).status(), is(ClaimResult.Status.OTHER_BODY));
+    }
+
     @Test
     void grantsAKeyThatWasGivenUp() {
         Claim first = claim("k", "a", "1");
--- a/daemon/src/test/java/org/fuchsiawharf/daemon/instance/TestEntryInstance.java
+++ b/daemon/src/test/java/org/fuchsiawharf/daemon/instance/TestEntryInstance.java
@@ -1,5 +1,7 @@
 package org.fuchsiawharf.daemon.instance;
 
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -204,6 +206,25 @@
         assertThat(unitsOf(nonce), is(lessThanOrEqualTo(5_000.0)));
     }
 
+    @Test
+    void disconnectsACallerThatDoesNotReadItsStream() throws Exception {
+        // Each token carries the mark, so that a long one fills every buffer on the way soon.
+        String nonce = nonce() + "x".repeat(20_000);
+        String body = "{\"nonce\":\"" + nonce + "\",\"tokens\":20000}";
+        String request = "POST " + FEEDBACK + " HTTP/1.1\r\nHost: x\r\nWorkspace: learners\r\nDeadline-Ms: 60000\r\n"
+                + "Accept: text/event-stream\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(4_096);
+            socket.connect(new InetSocketAddress(entry().host(), entry().port()));
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            for (int i = 0; i < 500 && runsOf(nonce) < 2; i++) {
+                Thread.sleep(10);
+            }
+            awaitIdle();
+        }
+        assertThat(unitsOf(nonce), is(lessThanOrEqualTo(5_000.0)));
+    }
+
     @Test
     void survivesManyCallersThatSendNonsense() {
         for (String path : List.of("/", "/v1/pipelines/feedback", "/v1/pipelines//requests", "/v1/status/../x")) {
--- a/daemon/src/test/java/org/fuchsiawharf/daemon/process/FaultProxy.java
+++ b/daemon/src/test/java/org/fuchsiawharf/daemon/process/FaultProxy.java
@@ -9,6 +9,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -106,7 +107,12 @@
     }
 
     private static void reset(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        } catch (ChannelException e) {
+            // The other side was faster, and the channel is closed already.
+            return;
+        }
         channel.close();
     }
 
--- a/standin/src/main/java/org/fuchsiawharf/standin/EndpointStandin.java
+++ b/standin/src/main/java/org/fuchsiawharf/standin/EndpointStandin.java
@@ -3,6 +3,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Deque;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -190,8 +191,8 @@
     // -----------------------------------------------------------------------
 
     private void onSubscribe(ServerSentEventConnection connection) {
-        String interval = connection.getParameter("interval");
-        long wanted = interval == null ? REPORT_MILLIS : Long.parseLong(interval);
+        Deque<String> interval = connection.getQueryParameters().get("interval");
+        long wanted = interval == null ? REPORT_MILLIS : Long.parseLong(interval.getFirst());
         subscribers.put(connection, Math.max(1, wanted / REPORT_MILLIS));
         connection.addCloseTask(subscribers::remove);
         if (closed) {
