Read the directory by conditional requests

Cause: most of what an endpoint cost in bytes was the whole directory each second (154 bytes a second an endpoint, of which a report takes 84).

Change: the poller sends the tag of the last good list, and a list that has not changed is not sent again.

--- a/http/src/main/java/org/fuchsiawharf/http/client/DirectoryPoller.java
+++ b/http/src/main/java/org/fuchsiawharf/http/client/DirectoryPoller.java
@@ -7,23 +7,27 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import org.fuchsiawharf.core.error.ArgumentException;
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.model.EndpointStatus;
 import org.fuchsiawharf.http.JsonText;
 import org.fuchsiawharf.http.WireHeaders;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Reads the platform's list of live and leaving endpoints at a fixed interval.
  *
- * <p>When the list can't be read, nothing is reported and the last list stays in force. Thread-safe.
+ * <p>When the list can't be read, nothing is reported and the last list stays in force. A list
+ * that has not changed is not sent again (conditional requests of RFC 9110). Thread-safe.
  */
 public final class DirectoryPoller implements AutoCloseable {
     private final HttpClient client;
     private final HttpTarget platform;
     private final long intervalMillis;
     private final Consumer<List<EndpointStatus>> receiver;
+    private volatile @Nullable String lastTag;
     private volatile boolean closed;
 
     /**
@@ -59,12 +63,17 @@
         }
         BodyCollector collector = new BodyCollector();
         collector.getFuture().whenComplete((response, error) -> {
-            if (error == null && response.status() == StatusCodes.OK) {
-                report(response.body());
+            if (error == null && response.status() == StatusCodes.OK && report(response.body())) {
+                lastTag = response.headers().getFirst(Headers.ETAG);
             }
             client.getIoThread().executeAfter(this::start, intervalMillis, TimeUnit.MILLISECONDS);
         });
-        client.get(platform, WireHeaders.INSTANCES_PATH, Map.of(), collector);
+        String known = lastTag;
+        client.get(
+                platform,
+                WireHeaders.INSTANCES_PATH,
+                known == null ? Map.of() : Map.of(Headers.IF_NONE_MATCH, known),
+                collector);
     }
 
     @Override
@@ -72,14 +81,16 @@
         closed = true;
     }
 
-    private void report(byte[] body) {
+    private boolean report(byte[] body) {
         try {
             Listing listing = JsonText.read(new String(body, StandardCharsets.UTF_8), Listing.class);
             receiver.accept(listing.instances().stream().map(Listed::toStatus).toList());
+            return true;
         } catch (UncheckedIOException | ArgumentException e) {
             // A malformed list is a failure to read; it tells nothing about endpoints.
             System.getLogger(DirectoryPoller.class.getName())
                     .log(System.Logger.Level.WARNING, "directory answer is malformed: " + e.getMessage());
+            return false;
         }
     }
 }
--- a/standin/src/main/java/org/fuchsiawharf/standin/PlatformStandin.java
+++ b/standin/src/main/java/org/fuchsiawharf/standin/PlatformStandin.java
@@ -8,6 +8,8 @@
 import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.http.JsonText;
 import org.xnio.IoUtils;
@@ -107,7 +109,15 @@
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
-        exchange.getResponseSender().send(JsonText.write(new Listing(listed)));
+        List<Line> now = listed;
+        String tag = "\"" + Integer.toHexString(now.hashCode()) + "\"";
+        exchange.getResponseHeaders().put(Headers.ETAG, tag);
+        if (tag.equals(exchange.getRequestHeaders().getFirst(Headers.IF_NONE_MATCH))) {
+            exchange.setStatusCode(StatusCodes.NOT_MODIFIED);
+            exchange.endExchange();
+            return;
+        }
+        exchange.getResponseSender().send(JsonText.write(new Listing(now)));
     }
 
     @Override
