Read an oversized body to its end before refusing it

Change: a body above the limit is read and discarded, up to 32 MiB and within the body timeout, and then refused; a body without a stated length is refused once it passes the limit. The test now posts 30 of them.

Conclusion: a refused caller hears why.

--- a/daemon/src/test/java/org/fuchsiawharf/daemon/instance/TestEntryInstance.java
+++ b/daemon/src/test/java/org/fuchsiawharf/daemon/instance/TestEntryInstance.java
@@ -125,7 +125,10 @@
     @Test
     void refusesAnOversizedBody() {
         String large = "\"" + "x".repeat(2 << 20) + "\"";
-        post(FEEDBACK, Map.of(), large).assertProblem(413, "body_too_large", "not_run");
+        // An answer sent before the body was read reached some callers as a broken connection only.
+        for (int i = 0; i < 30; i++) {
+            post(FEEDBACK, Map.of(), large).assertProblem(413, "body_too_large", "not_run");
+        }
     }
 
     @Test
--- a/http/src/main/java/org/fuchsiawharf/http/server/CallerHandler.java
+++ b/http/src/main/java/org/fuchsiawharf/http/server/CallerHandler.java
@@ -4,8 +4,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import org.fuchsiawharf.core.error.ErrorCode;
@@ -48,16 +50,16 @@
         if (pipeline == null) {
             return;
         }
-        if (exchange.getRequestContentLength() > limits.maxBodyBytes()) {
-            exchange.setPersistent(false);
-            Problem.sendNotRun(exchange, ErrorCode.BODY_TOO_LARGE, "the body is above " + limits.maxBodyBytes());
-            return;
-        }
         XnioExecutor.Key timeout = exchange.getIoThread()
                 .executeAfter(
                         () -> IoUtils.safeClose(exchange.getConnection()),
                         limits.bodyTimeoutMillis(),
                         TimeUnit.MILLISECONDS);
+        if (exchange.getRequestContentLength() > limits.maxBodyBytes()) {
+            discard(exchange, timeout);
+            return;
+        }
+        exchange.getRequestReceiver().setMaxBufferSize(limits.maxBodyBytes());
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (read, body) -> {
@@ -70,8 +72,25 @@
                         });
     }
 
+    // A caller that is still sending would see a broken connection in place of an early answer.
+    private void discard(HttpServerExchange exchange, XnioExecutor.Key timeout) {
+        exchange.getRequestReceiver()
+                .receivePartialBytes(
+                        (read, part, last) -> {
+                            if (last) {
+                                timeout.remove();
+                                String detail = "the body is above " + limits.maxBodyBytes() + " bytes";
+                                Problem.sendNotRun(read, ErrorCode.BODY_TOO_LARGE, detail);
+                            }
+                        },
+                        (read, error) -> {
+                            timeout.remove();
+                            refuseUnread(read, error);
+                        });
+    }
+
     private void refuseUnread(HttpServerExchange exchange, java.io.IOException error) {
-        ErrorCode code = error instanceof io.undertow.server.RequestTooBigException
+        ErrorCode code = error instanceof RequestTooBigException || error instanceof Receiver.RequestToLargeException
                 ? ErrorCode.BODY_TOO_LARGE
                 : ErrorCode.MALFORMED_BODY;
         Problem.sendNotRun(exchange, code, "the body can't be read: " + error.getMessage());
--- a/http/src/main/java/org/fuchsiawharf/http/server/EntryServer.java
+++ b/http/src/main/java/org/fuchsiawharf/http/server/EntryServer.java
@@ -25,6 +25,7 @@
     private static final int HEADER_TIMEOUT_MILLIS = 5_000;
     private static final int IDLE_TIMEOUT_MILLIS = 180_000;
     private static final int MAX_HEADER_BYTES = 16 * 1024;
+    private static final long MAX_DISCARDED_BYTES = 32L << 20;
     private static final int MAX_HEADERS = 64;
     private static final int OPERATOR_THREADS = 4;
     private static final int BACKLOG = 1_024;
@@ -88,7 +89,7 @@
                 .setSocketOption(Options.TCP_NODELAY, true)
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, limits.maxConnections())
                 .setSocketOption(Options.CONNECTION_LOW_WATER, limits.maxConnections())
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) limits.maxBodyBytes())
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_DISCARDED_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MILLIS)
