Name failures and counters in one place; drop two unused methods

Cause: five places lower-cased the same names, and OptionNames.progress and WorkspaceCounts.getRunning had no caller.

Change: CallFailure.getWireName and Counters.Name.getWireName serve them all; the unused methods are gone. Behaviour is as before.

--- a/core/src/main/java/org/fuchsiawharf/core/limits/WorkspaceCounts.java
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/WorkspaceCounts.java
@@ -36,14 +36,4 @@
     public void release(Workspace workspace) {
         running.computeIfPresent(workspace.name(), (name, count) -> count > 1 ? count - 1 : null);
     }
-
-    /**
-     * Gets the number of running requests of a workspace.
-     *
-     * @param workspace the workspace, not null
-     * @return the count
-     */
-    public int getRunning(Workspace workspace) {
-        return running.getOrDefault(workspace.name(), 0);
-    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/port/CallFailure.java
+++ b/core/src/main/java/org/fuchsiawharf/core/port/CallFailure.java
@@ -1,5 +1,7 @@
 package org.fuchsiawharf.core.port;
 
+import java.util.Locale;
+
 /**
  * Why a stage call has no answer.
  *
@@ -37,4 +39,13 @@
     public boolean isEffectPossible() {
         return effectPossible;
     }
+
+    /**
+     * Gets the form for logs, such as {@code not_sent}.
+     *
+     * @return the lower-case name, never null
+     */
+    public String getWireName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/request/Counters.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/Counters.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -42,7 +43,16 @@
         STREAM_GAPS,
         CACHE_GAPS,
         QUEUED,
-        JOINED
+        JOINED;
+
+        /**
+         * Gets the form for status and metrics, such as {@code not_run}.
+         *
+         * @return the lower-case name, never null
+         */
+        public String getWireName() {
+            return name().toLowerCase(Locale.ROOT);
+        }
     }
 
     /**
@@ -75,8 +85,7 @@
      */
     List<StatusSnapshot.Counter> toList() {
         List<StatusSnapshot.Counter> all = new ArrayList<>();
-        values.forEach((name, value) ->
-                all.add(new StatusSnapshot.Counter(name.name().toLowerCase(java.util.Locale.ROOT), value.get())));
+        values.forEach((name, value) -> all.add(new StatusSnapshot.Counter(name.getWireName(), value.get())));
         return all;
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/request/StageRunner.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/StageRunner.java
@@ -300,7 +300,7 @@
     void fail(ActiveRequest active, Attempt attempt, CallFailure failure, String detail) {
         String service = attempt.stage.service();
         boolean ejected = learn(attempt, failure);
-        release(active, attempt, failure.name().toLowerCase(java.util.Locale.ROOT));
+        release(active, attempt, failure.getWireName());
         if (failure.isEffectPossible()) {
             active.effectPossible = true;
         }
@@ -374,7 +374,7 @@
     private static String describe(Attempt attempt, CallFailure failure, String detail) {
         return "stage " + attempt.stage.name() + " at endpoint "
                 + attempt.state.getEndpoint().name() + ": "
-                + failure.name().toLowerCase(java.util.Locale.ROOT) + ", " + detail;
+                + failure.getWireName() + ", " + detail;
     }
 
     // -----------------------------------------------------------------------
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/cli/OptionNames.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/cli/OptionNames.java
@@ -1,6 +1,5 @@
 package org.fuchsiawharf.daemon.cli;
 
-import java.io.PrintStream;
 import java.nio.file.Path;
 
 import joptsimple.OptionSet;
@@ -47,14 +46,4 @@
         }
         return value.toString();
     }
-
-    /**
-     * Shows progress on a line of its own that is written over.
-     *
-     * @param out where to, not null
-     * @param text the line, not null
-     */
-    static void progress(PrintStream out, String text) {
-        out.println(text);
-    }
 }
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/Experiment.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/experiment/Experiment.java
@@ -163,10 +163,7 @@
         Map<String, Long> sums = new TreeMap<>();
         for (EntryInstance instance : cluster.getInstances()) {
             for (Counters.Name name : Counters.Name.values()) {
-                sums.merge(
-                        name.name().toLowerCase(java.util.Locale.ROOT),
-                        instance.getCounters().get(name),
-                        Long::sum);
+                sums.merge(name.getWireName(), instance.getCounters().get(name), Long::sum);
             }
         }
         return sums;
--- a/daemon/src/main/java/org/fuchsiawharf/daemon/instance/EntryInstance.java
+++ b/daemon/src/main/java/org/fuchsiawharf/daemon/instance/EntryInstance.java
@@ -217,8 +217,7 @@
 
     private void registerCounters() {
         for (Counters.Name name : Counters.Name.values()) {
-            String meter = "fuchsiawharf."
-                    + name.name().toLowerCase(java.util.Locale.ROOT).replace('_', '.');
+            String meter = "fuchsiawharf." + name.getWireName().replace('_', '.');
             FunctionCounter.builder(meter, decisions.getCounters(), counters -> counters.get(name))
                     .tag("instance", options.name())
                     .tag("zone", options.zone())
