--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/member/package-info.java
@@ -0,0 +1,5 @@
+/** The live instances, and which of them owns a stage service. */
+@NullMarked
+package org.fuchsiawharf.core.member;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -0,0 +1,458 @@
+package org.fuchsiawharf.core.pieces;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.fuchsiawharf.core.health.HealthPolicy;
+import org.fuchsiawharf.core.log.DecisionLog;
+import org.fuchsiawharf.core.log.Meters;
+import org.fuchsiawharf.core.port.CallFailure;
+import org.fuchsiawharf.core.retry.SharedRetryBudget;
+import org.fuchsiawharf.core.route.PieceService;
+import org.fuchsiawharf.core.routing.EndpointState;
+import org.fuchsiawharf.core.routing.EndpointTable;
+import org.fuchsiawharf.core.routing.ServicePool;
+import org.fuchsiawharf.core.time.TimerService;
+import org.fuchsiawharf.core.time.TimerService.Timer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Queues the pieces of one service for the whole fleet and forms the calls to its endpoints.
+ *
+ * <p>Answers the load of many instances that each have few pieces: one queue in front of all endpoints fills the
+ * batches that no instance could fill for itself. An endpoint has as many calls in progress as it has slots, so
+ * that what is not yet sent can still be ordered anew. Every piece that was not cancelled gets exactly one result.
+ *
+ * <p>Confined to the decision loop.
+ */
+public final class FleetStagePool implements StagePool {
+    /** How often endpoints may fail at one piece; a piece that kills its maker must not visit all of them. */
+    private static final int MAX_ATTEMPTS = 3;
+    /** A call that takes so many times its expected time counts as stuck, and its pieces go elsewhere as well. */
+    private static final double STUCK_FACTOR = 2.0;
+    /** Added to the bound of a stuck call: transfer of inputs and a round trip. */
+    private static final long STUCK_SLACK_NANOS = 200_000_000L;
+    /** A call that takes so many times its expected time is given up; above the slowness that is worth waiting for. */
+    private static final double ABANDON_FACTOR = 8.0;
+    /** How long an endpoint that was full or out of space is left alone; about half a call. */
+    private static final long BUSY_NANOS = 120_000_000L;
+    /** How often waiting pieces are looked at again while endpoints are idle. */
+    private static final long RECHECK_NANOS = 25_000_000L;
+    /** How long releases are gathered for one call to their maker. */
+    private static final long RELEASE_NANOS = 60_000_000L;
+    /** Call times are compared between endpoints as if each call were expected to take this long. */
+    private static final double NOMINAL_CALL_NANOS = 100e6;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final String service;
+    private final EndpointTable table;
+    private final HealthPolicy health;
+    private final PieceCalls calls;
+    private final TimerService timers;
+    private final SharedRetryBudget budget;
+    private final DecisionLog log;
+    private final Meters meters;
+    private final PieceQueue queue = new PieceQueue();
+    private final ResultSpace space = new ResultSpace();
+    private final Map<String, List<PieceTask>> tasksByRequest = new HashMap<>();
+    private final Map<String, Integer> callsByEndpoint = new HashMap<>();
+    private final Map<String, Long> busyUntil = new HashMap<>();
+    private final Map<String, List<String>> releases = new HashMap<>();
+    private @Nullable PieceService spec;
+    private @Nullable Timer recheck;
+    private boolean flushScheduled;
+
+    /**
+     * Creates a pool.
+     *
+     * @param service the service's name, not null
+     * @param context what all pools of the instance share, not null
+     */
+    public FleetStagePool(String service, PoolContext context) {
+        this.service = service;
+        this.table = context.table();
+        this.health = context.health();
+        this.calls = context.calls();
+        this.timers = context.timers();
+        this.budget = context.budget();
+        this.log = context.log();
+        this.meters = context.meters();
+    }
+
+    /**
+     * Takes in how the endpoints work on pieces.
+     *
+     * @param pieces the bounds, null if the service works on no pieces
+     */
+    public void setSpec(@Nullable PieceService pieces) {
+        spec = pieces;
+        dispatch();
+    }
+
+    /**
+     * Gets how much waits.
+     *
+     * @return the backlog as of now, never null
+     */
+    public StageBacklog getBacklog() {
+        List<EndpointState> usable = usableEndpoints();
+        int idle = (int) usable.stream().filter(this::isIdle).count();
+        return new StageBacklog(queue.countByRank(), usable.size(), idle);
+    }
+
+    @Override
+    public void submit(List<PieceOrder> orders, PieceListener listener) {
+        for (PieceOrder order : orders) {
+            PieceTask task = new PieceTask(order, listener, timers.now());
+            tasksByRequest
+                    .computeIfAbsent(order.id().requestId(), id -> new ArrayList<>())
+                    .add(task);
+            queue.add(task);
+        }
+        dispatch();
+    }
+
+    @Override
+    public void cancel(String requestId) {
+        List<PieceTask> tasks = tasksByRequest.remove(requestId);
+        if (tasks != null) {
+            tasks.forEach(PieceTask::cancel);
+            queue.removeIf(task -> task.finished, task -> {});
+        }
+    }
+
+    /**
+     * Gives every waiting piece back unmade.
+     *
+     * @param reason why, for the log, not null
+     */
+    public void withdrawAll(String reason) {
+        if (!queue.isEmpty()) {
+            log.write("pieces.withdrawn", "service", service, "pieces", queue.size(), "reason", reason);
+        }
+        queue.removeIf(
+                task -> true, task -> finish(task, PieceResult.unmade(task.order.id(), PieceResult.Status.WITHDRAWN)));
+    }
+
+    @Override
+    public void release(List<String> handles) {
+        for (String handle : handles) {
+            String maker = space.release(handle);
+            if (maker != null) {
+                releases.computeIfAbsent(maker, m -> new ArrayList<>()).add(handle);
+            }
+        }
+        if (!flushScheduled && !releases.isEmpty()) {
+            flushScheduled = true;
+            timers.schedule(timers.now() + RELEASE_NANOS, this::flushReleases);
+        }
+    }
+
+    private void flushReleases() {
+        flushScheduled = false;
+        Map<String, List<String>> due = new HashMap<>(releases);
+        releases.clear();
+        due.forEach((maker, handles) -> {
+            EndpointState state = table.getEndpoint(maker);
+            if (state != null) {
+                calls.free(state.getEndpoint(), handles);
+            }
+        });
+        dispatch();
+    }
+
+    // -----------------------------------------------------------------------
+
+    /** Sends what can be sent now; called whenever pieces, endpoints or their state have changed. */
+    public void dispatch() {
+        PieceService known = spec;
+        List<EndpointState> usable = usableEndpoints();
+        if (known == null || usable.isEmpty()) {
+            withdrawAll(known == null ? "the service has no pieces" : "no endpoint is listed");
+            return;
+        }
+        long now = timers.now();
+        long shortest = (long) (known.callMillisFor(1) * NANOS_PER_MILLI);
+        queue.removeIf(
+                task -> now + shortest > task.order.terms().deadlineNanos(),
+                task -> finish(task, PieceResult.unmade(task.order.id(), PieceResult.Status.LATE)));
+        boolean idleLeft = false;
+        for (EndpointState endpoint : usable) {
+            if (queue.isEmpty()) {
+                break;
+            }
+            if (isIdle(endpoint)) {
+                List<PieceTask> batch = takeBatch(endpoint, usable, known);
+                if (batch.isEmpty()) {
+                    idleLeft = true;
+                } else {
+                    start(endpoint, batch, known);
+                }
+            }
+        }
+        boolean anyBusy = usable.stream()
+                .anyMatch(e -> busyUntil.containsKey(e.getEndpoint().name()));
+        if (!queue.isEmpty() && (idleLeft || anyBusy)) {
+            scheduleRecheck();
+        }
+    }
+
+    private void scheduleRecheck() {
+        if (recheck == null) {
+            recheck = timers.schedule(timers.now() + RECHECK_NANOS, () -> {
+                recheck = null;
+                dispatch();
+            });
+        }
+    }
+
+    private List<PieceTask> takeBatch(EndpointState endpoint, List<EndpointState> usable, PieceService known) {
+        String name = endpoint.getEndpoint().name();
+        long room = (long) (known.resultSpaceMb() * 1e6) - space.getUsed(name, timers.now());
+        PieceQueue.Offer offer =
+                new PieceQueue.Offer(name, endpoint.getEndpoint().zone(), known.batch(), room, (long)
+                        (known.callMillisFor(1) * NANOS_PER_MILLI));
+        return queue.take(
+                offer,
+                timers.now(),
+                zone -> usable.stream().anyMatch(e -> e.getEndpoint().zone().equals(zone)),
+                usable.size() == 1);
+    }
+
+    // All listed endpoints serve if none is healthy: a guess then beats a refusal.
+    private List<EndpointState> usableEndpoints() {
+        ServicePool pool = table.getPool(service);
+        health.allowProbes(pool, timers.now());
+        List<EndpointState> usable = new ArrayList<>(
+                pool.getMembers().stream().filter(EndpointState::isUsable).toList());
+        if (usable.isEmpty()) {
+            usable.addAll(pool.getMembers().stream().filter(e -> !e.isLeaving()).toList());
+        }
+        usable.sort(Comparator.comparing(EndpointState::isEjected)
+                .thenComparingDouble(e -> e.getService().getMean()));
+        return usable;
+    }
+
+    private boolean isIdle(EndpointState endpoint) {
+        String name = endpoint.getEndpoint().name();
+        Long until = busyUntil.get(name);
+        if (until != null && until > timers.now()) {
+            return false;
+        }
+        busyUntil.remove(name);
+        PieceService known = spec;
+        return known != null && callsByEndpoint.getOrDefault(name, 0) < known.slots();
+    }
+
+    // -----------------------------------------------------------------------
+
+    private void start(EndpointState endpoint, List<PieceTask> batch, PieceService known) {
+        BatchCall call = new BatchCall(endpoint, batch, known);
+        for (PieceTask task : batch) {
+            task.attempts++;
+        }
+        meters.count("stage_calls", service);
+        meters.count("stage_pieces", service, batch.size());
+        call.send();
+    }
+
+    private void finish(PieceTask task, PieceResult result) {
+        List<PieceTask> tasks = tasksByRequest.get(task.order.id().requestId());
+        if (tasks != null) {
+            tasks.remove(task);
+            if (tasks.isEmpty()) {
+                tasksByRequest.remove(task.order.id().requestId());
+            }
+        }
+        task.finish(result);
+    }
+
+    private void retry(PieceTask task, String endpoint, boolean arrived) {
+        if (task.finished) {
+            return;
+        }
+        task.avoid.add(endpoint);
+        if (task.attempts >= MAX_ATTEMPTS || (arrived && !budget.tryRepeat(service))) {
+            log.write(
+                    "piece.failed",
+                    "request",
+                    task.order.id().requestId(),
+                    "service",
+                    service,
+                    "piece",
+                    task.order.id().toString(),
+                    "attempts",
+                    task.attempts);
+            finish(task, PieceResult.unmade(task.order.id(), PieceResult.Status.FAILED));
+        } else {
+            queue.add(task);
+        }
+    }
+
+    /** One call to an endpoint, from its sending to its answer. */
+    private final class BatchCall implements PieceCalls.Listener {
+        private final EndpointState endpoint;
+        private final String name;
+        private final List<PieceTask> batch;
+        private final PieceService known;
+        private final long sentNanos = timers.now();
+        private final double expectedNanos;
+        private final Timer stuckTimer;
+        private final Timer abandonTimer;
+        private PieceCalls.@Nullable Call call;
+        private boolean stuck;
+
+        private BatchCall(EndpointState endpoint, List<PieceTask> batch, PieceService known) {
+            this.endpoint = endpoint;
+            this.name = endpoint.getEndpoint().name();
+            this.batch = batch;
+            this.known = known;
+            this.expectedNanos = known.callMillisFor(batch.size()) * NANOS_PER_MILLI;
+            this.stuckTimer = timers.schedule(
+                    sentNanos + (long) (STUCK_FACTOR * expectedNanos) + STUCK_SLACK_NANOS, this::onStuck);
+            this.abandonTimer = timers.schedule(sentNanos + (long) (ABANDON_FACTOR * expectedNanos), this::onAbandoned);
+        }
+
+        private void send() {
+            callsByEndpoint.merge(name, 1, Integer::sum);
+            endpoint.onSent();
+            batch.forEach(task -> space.add(name, task.order.terms().resultBytes()));
+            call = calls.send(
+                    endpoint.getEndpoint(),
+                    batch.stream().map(task -> task.order).toList(),
+                    this);
+        }
+
+        private void end() {
+            stuckTimer.cancel();
+            abandonTimer.cancel();
+            callsByEndpoint.merge(name, -1, Integer::sum);
+            endpoint.onEnded();
+        }
+
+        @Override
+        public void onAnswered(List<PieceCalls.Answer> answers) {
+            end();
+            long took = timers.now() - sentNanos;
+            endpoint.onCompleted((long) (NOMINAL_CALL_NANOS * took / expectedNanos));
+            health.onSuccess(table.getPool(service), endpoint, false, timers.now());
+            meters.time("stage_call_seconds", service, took);
+            log.write(
+                    "stage.answered",
+                    "service",
+                    service,
+                    "endpoint",
+                    name,
+                    "pieces",
+                    batch.size(),
+                    "took_ms",
+                    took / 1_000_000,
+                    "expected_ms",
+                    (long) (expectedNanos / NANOS_PER_MILLI),
+                    "waiting",
+                    queue.size());
+            for (int i = 0; i < batch.size(); i++) {
+                take(batch.get(i), answers.get(i));
+            }
+            dispatch();
+        }
+
+        private void take(PieceTask task, PieceCalls.Answer answer) {
+            long bytes = task.order.terms().resultBytes();
+            if (answer.kind() == PieceCalls.AnswerKind.MADE) {
+                long expires = timers.now() + known.resultTtlMillis() * 1_000_000L;
+                space.hold(answer.handle(), name, bytes, expires);
+                if (task.finished) {
+                    release(List.of(answer.handle()));
+                } else {
+                    queue.removeIf(other -> other == task, other -> {});
+                    finish(task, PieceResult.done(task.order.id(), answer.handle()));
+                }
+                return;
+            }
+            space.add(name, -bytes);
+            switch (answer.kind()) {
+                case LATE -> finishUnlessQueued(task, PieceResult.Status.LATE);
+                case INPUT_GONE -> finishUnlessQueued(task, PieceResult.Status.INPUT_GONE);
+                case NO_SPACE -> {
+                    busyUntil.put(name, timers.now() + BUSY_NANOS);
+                    requeue(task, false);
+                }
+                default -> {
+                    health.onFailure(table.getPool(service), endpoint, CallFailure.ERROR, timers.now());
+                    requeue(task, true);
+                }
+            }
+        }
+
+        private void finishUnlessQueued(PieceTask task, PieceResult.Status status) {
+            if (!stuck) {
+                finish(task, PieceResult.unmade(task.order.id(), status));
+            }
+        }
+
+        // The pieces of a stuck call wait in the queue already.
+        private void requeue(PieceTask task, boolean arrived) {
+            if (!stuck) {
+                retry(task, name, arrived);
+            }
+        }
+
+        @Override
+        public void onFailed(CallFailure failure, String detail) {
+            end();
+            log.write(
+                    "stage.failed",
+                    "service",
+                    service,
+                    "endpoint",
+                    name,
+                    "pieces",
+                    batch.size(),
+                    "failure",
+                    failure.getWireName(),
+                    "detail",
+                    detail,
+                    "took_ms",
+                    (timers.now() - sentNanos) / 1_000_000);
+            meters.count("stage_failures", failure.getWireName());
+            batch.forEach(task -> space.add(name, -task.order.terms().resultBytes()));
+            boolean busy = failure == CallFailure.REFUSED;
+            if (busy) {
+                busyUntil.put(name, timers.now() + BUSY_NANOS);
+            } else if (failure == CallFailure.LEAVING) {
+                endpoint.onLeaving();
+            } else {
+                health.onFailure(table.getPool(service), endpoint, failure, timers.now());
+            }
+            for (PieceTask task : batch) {
+                if (busy) {
+                    task.attempts--;
+                }
+                requeue(task, failure != CallFailure.NOT_SENT);
+            }
+            dispatch();
+        }
+
+        private void onStuck() {
+            stuck = true;
+            log.write("stage.stuck", "service", service, "endpoint", name, "pieces", batch.size(), "expected_ms", (long)
+                    (expectedNanos / NANOS_PER_MILLI));
+            health.onFailure(table.getPool(service), endpoint, CallFailure.TIMEOUT, timers.now());
+            batch.forEach(task -> retry(task, name, true));
+            dispatch();
+        }
+
+        private void onAbandoned() {
+            PieceCalls.Call open = call;
+            if (open != null) {
+                open.cancel();
+            }
+            onFailed(CallFailure.TIMEOUT, "no answer in time");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -0,0 +1,478 @@
+package org.fuchsiawharf.core.pieces;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.fuchsiawharf.core.log.DecisionLog;
+import org.fuchsiawharf.core.member.Member;
+import org.fuchsiawharf.core.member.MemberTable;
+import org.fuchsiawharf.core.member.PeerMessage;
+import org.fuchsiawharf.core.member.PeerPort;
+import org.fuchsiawharf.core.route.ServiceSpec;
+import org.fuchsiawharf.core.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Brings pieces to the pool that works for their service, on this instance or on another.
+ *
+ * <p>Each stage service has one owner among the live instances, by hashing alone; ownership is a hint and never
+ * exclusive. If the owner is silent, refuses or is not connected, the pieces go to the owner within the own
+ * availability zone, since a cut between zones is the likely cause, and then to this instance's own pool. A piece
+ * may so be made twice; the first result counts.
+ *
+ * <p>Confined to the decision loop.
+ */
+public final class StagePools {
+    /** How often heartbeats go out and silence is looked for. */
+    public static final long HEARTBEAT_NANOS = 100_000_000L;
+    /** An owner that is silent for so long is left alone; four heartbeats and a garbage collection. */
+    private static final long SILENCE_NANOS = 450_000_000L;
+    /** How long a silent owner is left alone before pieces go there again. */
+    private static final long SUSPECT_NANOS = 1_500_000_000L;
+    /** Heartbeats slow down above this many connections, so that their cost stays bounded. */
+    private static final int FULL_RATE_CONNECTIONS = 16;
+
+    private final MemberTable members;
+    private final PeerPort peers;
+    private final PoolContext context;
+    private final TimerService timers;
+    private final DecisionLog log;
+    private final Map<String, FleetStagePool> pools = new HashMap<>();
+    private final Map<PieceId, Outstanding> outstanding = new LinkedHashMap<>();
+    private final Map<String, String> ownerByHandle = new HashMap<>();
+    private final Map<String, Peer> peersByName = new HashMap<>();
+    private final Map<String, Load> loads = new HashMap<>();
+    private Set<String> services = Set.of();
+    private long ticks;
+    private boolean leaving;
+
+    /** What is known of another instance. */
+    private static final class Peer {
+        private long heardNanos;
+        private long suspectUntil;
+        private boolean leaving;
+    }
+
+    /** A service's backlog as its owner last told it, and what was sent there since. */
+    private static final class Load {
+        private StageBacklog backlog = StageBacklog.EMPTY;
+        private long asOfNanos;
+        private final int[] sentSince = new int[StageBacklog.RANKS];
+    }
+
+    /** A piece that another instance works on. */
+    private static final class Outstanding {
+        private final String service;
+        private final PieceOrder order;
+        private final PieceListener listener;
+        private final Set<String> tried = new HashSet<>();
+        private String owner = "";
+        private long sentNanos;
+
+        private Outstanding(String service, PieceOrder order, PieceListener listener) {
+            this.service = service;
+            this.order = order;
+            this.listener = listener;
+        }
+    }
+
+    /**
+     * Creates pools for no service.
+     *
+     * @param members the live instances, not null
+     * @param peers carries messages to them, not null
+     * @param context what the pools share, not null
+     */
+    public StagePools(MemberTable members, PeerPort peers, PoolContext context) {
+        this.members = members;
+        this.peers = peers;
+        this.context = context;
+        this.timers = context.timers();
+        this.log = context.log();
+    }
+
+    /** Starts heartbeats; called once. */
+    public void start() {
+        timers.schedule(timers.now() + HEARTBEAT_NANOS, this::tick);
+    }
+
+    /**
+     * Takes in the services of a configuration.
+     *
+     * @param specs every service, not null
+     */
+    public void setServices(Collection<ServiceSpec> specs) {
+        Set<String> stageServices = new HashSet<>();
+        for (ServiceSpec spec : specs) {
+            if (spec.pieces() != null) {
+                stageServices.add(spec.name());
+                pool(spec.name()).setSpec(spec.pieces());
+            }
+        }
+        pools.forEach((name, pool) -> {
+            if (!stageServices.contains(name)) {
+                pool.setSpec(null);
+            }
+        });
+        services = stageServices;
+        onMembersChanged();
+    }
+
+    /** Connects to the owners; called when members have changed. */
+    public void onMembersChanged() {
+        Set<Member> wanted = new HashSet<>();
+        for (String service : services) {
+            wanted.addAll(candidates(service));
+        }
+        wanted.remove(members.getSelf());
+        peers.connect(wanted);
+        peersByName.keySet().removeIf(name -> members.getMember(name) == null);
+        resubmitWhere(o -> members.getMember(o.owner) == null, "owner is no member any more");
+    }
+
+    /** Looks for work that can be sent now; called when endpoints have changed. */
+    public void onEndpointsChanged() {
+        pools.values().forEach(FleetStagePool::dispatch);
+    }
+
+    /** Hands the pools' waiting pieces back and takes no more from others. */
+    public void leave() {
+        leaving = true;
+        sendHeartbeats();
+        pools.values().forEach(pool -> pool.withdrawAll("this instance leaves"));
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Orders pieces.
+     *
+     * @param service the stage service, not null
+     * @param orders the pieces, not null
+     * @param listener hears what becomes of each, not null
+     */
+    public void submit(String service, List<PieceOrder> orders, PieceListener listener) {
+        List<Outstanding> pieces = orders.stream()
+                .map(order -> new Outstanding(service, order, listener))
+                .toList();
+        pieces.forEach(piece -> load(service).sentSince[rankOf(piece.order)]++);
+        send(service, pieces);
+    }
+
+    /**
+     * Withdraws a request's pieces.
+     *
+     * @param service the stage service, not null
+     * @param requestId the request's id, not null
+     */
+    public void cancel(String service, String requestId) {
+        Set<String> owners = new HashSet<>();
+        outstanding.values().removeIf(o -> {
+            boolean match =
+                    o.service.equals(service) && o.order.id().requestId().equals(requestId);
+            if (match) {
+                owners.add(o.owner);
+            }
+            return match;
+        });
+        owners.forEach(owner -> peers.send(owner, new PeerMessage.CancelPieces(service, requestId)));
+        pool(service).cancel(requestId);
+    }
+
+    /**
+     * Gives results up.
+     *
+     * @param service the service that made them, not null
+     * @param handles the results, not null
+     */
+    public void release(String service, List<String> handles) {
+        Map<String, List<String>> byOwner = new HashMap<>();
+        for (String handle : handles) {
+            String owner = ownerByHandle.remove(handle);
+            if (owner != null) {
+                byOwner.computeIfAbsent(owner, o -> new ArrayList<>()).add(handle);
+            }
+        }
+        byOwner.forEach((owner, list) -> {
+            if (owner.equals(members.getSelf().name())) {
+                pool(service).release(list);
+            } else {
+                peers.send(owner, new PeerMessage.ReleaseResults(service, list));
+            }
+        });
+    }
+
+    /**
+     * Gets how much waits for a service, with what was sent since its owner told.
+     *
+     * @param service the stage service, not null
+     * @return the backlog, never null
+     */
+    public StageBacklog getBacklog(String service) {
+        Member owner = candidates(service).get(0);
+        if (owner.equals(members.getSelf())) {
+            return pool(service).getBacklog();
+        }
+        Load load = load(service);
+        List<Integer> queued = new ArrayList<>();
+        for (int i = 0; i < StageBacklog.RANKS; i++) {
+            queued.add(load.backlog.queuedByRank().get(i) + load.sentSince[i]);
+        }
+        return new StageBacklog(queued, load.backlog.endpoints(), load.backlog.idle());
+    }
+
+    /**
+     * Gets the age of what {@link #getBacklog} tells.
+     *
+     * @param service the stage service, not null
+     * @return nanoseconds, 0 if this instance owns the service
+     */
+    public long getBacklogAge(String service) {
+        boolean own = candidates(service).get(0).equals(members.getSelf());
+        return own ? 0 : timers.now() - load(service).asOfNanos;
+    }
+
+    // -----------------------------------------------------------------------
+
+    /**
+     * Takes in a message from another instance.
+     *
+     * @param from the sender's name, not null
+     * @param message the message, not null
+     */
+    public void onMessage(String from, PeerMessage message) {
+        Peer peer = peer(from);
+        peer.heardNanos = timers.now();
+        if (message instanceof PeerMessage.SubmitPieces submit) {
+            accept(from, submit);
+        } else if (message instanceof PeerMessage.PiecesEnded ended) {
+            ended.results().forEach(result -> onRemoteResult(from, ended.service(), result));
+        } else if (message instanceof PeerMessage.CancelPieces cancel) {
+            pool(cancel.service()).cancel(cancel.requestId());
+        } else if (message instanceof PeerMessage.ReleaseResults release) {
+            pool(release.service()).release(release.handles());
+        } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
+            onHeartbeat(from, peer, heartbeat);
+        }
+    }
+
+    /**
+     * Learns that a connection broke or could not be made.
+     *
+     * @param member the other instance's name, not null
+     * @param detail what was seen, not null
+     */
+    public void onDisconnected(String member, String detail) {
+        suspect(member, detail);
+    }
+
+    private void accept(String from, PeerMessage.SubmitPieces submit) {
+        PieceListener answer =
+                result -> peers.send(from, new PeerMessage.PiecesEnded(submit.service(), List.of(result)));
+        if (leaving) {
+            submit.orders()
+                    .forEach(order -> answer.onResult(PieceResult.unmade(order.id(), PieceResult.Status.WITHDRAWN)));
+        } else {
+            pool(submit.service()).submit(submit.orders(), answer);
+        }
+    }
+
+    private void onHeartbeat(String from, Peer peer, PeerMessage.Heartbeat heartbeat) {
+        if (heartbeat.leaving() != peer.leaving) {
+            log.write("peer.leaving", "peer", from, "leaving", heartbeat.leaving());
+            peer.leaving = heartbeat.leaving();
+        }
+        heartbeat.backlogs().forEach((service, backlog) -> {
+            if (candidates(service).get(0).name().equals(from)) {
+                Load load = load(service);
+                load.backlog = backlog;
+                load.asOfNanos = timers.now();
+                java.util.Arrays.fill(load.sentSince, 0);
+            }
+        });
+    }
+
+    private void onRemoteResult(String from, String service, PieceResult result) {
+        Outstanding piece = outstanding.get(result.id());
+        if (piece == null) {
+            if (result.status() == PieceResult.Status.DONE) {
+                // Nobody waits for it any more: its maker may free it at once.
+                peers.send(from, new PeerMessage.ReleaseResults(service, List.of(result.handle())));
+            }
+            return;
+        }
+        boolean current = piece.owner.equals(from);
+        if (result.status() == PieceResult.Status.WITHDRAWN) {
+            if (current) {
+                outstanding.remove(result.id());
+                send(piece.service, List.of(piece));
+            }
+        } else if (current || result.status() == PieceResult.Status.DONE) {
+            outstanding.remove(result.id());
+            deliver(piece, from, result);
+        }
+    }
+
+    // -----------------------------------------------------------------------
+
+    private void send(String service, List<Outstanding> pieces) {
+        Map<String, List<Outstanding>> byOwner = new LinkedHashMap<>();
+        for (Outstanding piece : pieces) {
+            Member owner = candidates(service).stream()
+                    .filter(m -> !piece.tried.contains(m.name()))
+                    .findFirst()
+                    .orElse(null);
+            if (owner == null) {
+                piece.listener.onResult(PieceResult.unmade(piece.order.id(), PieceResult.Status.FAILED));
+            } else {
+                byOwner.computeIfAbsent(owner.name(), o -> new ArrayList<>()).add(piece);
+            }
+        }
+        byOwner.forEach((owner, list) -> sendTo(service, owner, list));
+    }
+
+    private void sendTo(String service, String owner, List<Outstanding> pieces) {
+        List<PieceOrder> orders = pieces.stream().map(piece -> piece.order).toList();
+        pieces.forEach(piece -> {
+            piece.tried.add(owner);
+            piece.owner = owner;
+            piece.sentNanos = timers.now();
+        });
+        if (owner.equals(members.getSelf().name())) {
+            Map<PieceId, Outstanding> own = new HashMap<>();
+            pieces.forEach(piece -> own.put(piece.order.id(), piece));
+            pool(service).submit(orders, result -> onOwnResult(own.get(result.id()), result));
+        } else if (peers.send(owner, new PeerMessage.SubmitPieces(service, orders))) {
+            pieces.forEach(piece -> outstanding.put(piece.order.id(), piece));
+        } else {
+            suspect(owner, "not connected");
+            send(service, pieces);
+        }
+    }
+
+    private void onOwnResult(@Nullable Outstanding piece, PieceResult result) {
+        if (piece == null) {
+            return;
+        }
+        if (result.status() == PieceResult.Status.WITHDRAWN) {
+            send(piece.service, List.of(piece));
+        } else {
+            deliver(piece, members.getSelf().name(), result);
+        }
+    }
+
+    private void deliver(Outstanding piece, String owner, PieceResult result) {
+        if (result.status() == PieceResult.Status.DONE) {
+            ownerByHandle.put(result.handle(), owner);
+        }
+        piece.listener.onResult(result);
+    }
+
+    private void suspect(String member, String reason) {
+        Peer peer = peer(member);
+        if (peer.suspectUntil <= timers.now()) {
+            log.write("peer.suspected", "peer", member, "reason", reason, "pieces", outstandingAt(member));
+        }
+        peer.suspectUntil = timers.now() + SUSPECT_NANOS;
+        resubmitWhere(o -> o.owner.equals(member), reason);
+    }
+
+    private void resubmitWhere(java.util.function.Predicate<Outstanding> condition, String reason) {
+        Map<String, List<Outstanding>> lost = new HashMap<>();
+        outstanding.values().removeIf(piece -> {
+            boolean match = condition.test(piece);
+            if (match) {
+                lost.computeIfAbsent(piece.service, s -> new ArrayList<>()).add(piece);
+            }
+            return match;
+        });
+        lost.forEach((service, pieces) -> {
+            log.write("pieces.resubmitted", "service", service, "pieces", pieces.size(), "reason", reason);
+            send(service, pieces);
+        });
+    }
+
+    private long outstandingAt(String member) {
+        return outstanding.values().stream().filter(o -> o.owner.equals(member)).count();
+    }
+
+    // -----------------------------------------------------------------------
+
+    private void tick() {
+        timers.schedule(timers.now() + HEARTBEAT_NANOS, this::tick);
+        ticks++;
+        long every = 1 + peers.connected().size() / FULL_RATE_CONNECTIONS;
+        if (ticks % every == 0) {
+            sendHeartbeats();
+        }
+        long bound = SILENCE_NANOS + (every - 1) * 4 * HEARTBEAT_NANOS;
+        Set<String> silent = new HashSet<>();
+        for (Outstanding piece : outstanding.values()) {
+            long heard = Math.max(piece.sentNanos, peer(piece.owner).heardNanos);
+            if (timers.now() - heard > bound) {
+                silent.add(piece.owner);
+            }
+        }
+        for (String member : silent) {
+            suspect(member, "silent");
+            peers.reset(member);
+        }
+    }
+
+    private void sendHeartbeats() {
+        Map<String, StageBacklog> own = new HashMap<>();
+        pools.forEach((service, pool) -> own.put(service, pool.getBacklog()));
+        PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(own, leaving);
+        peers.connected().forEach(name -> peers.send(name, heartbeat));
+    }
+
+    /** Gives pieces of others back after this instance stood still, since they were sent elsewhere meanwhile. */
+    public void onStandstill() {
+        pools.values().forEach(pool -> pool.withdrawAll("this instance stood still"));
+    }
+
+    private List<Member> candidates(String service) {
+        List<Member> ranked = members.rankOwners(service);
+        Set<Member> chosen = new java.util.LinkedHashSet<>();
+        ranked.stream().filter(this::isTrusted).findFirst().ifPresent(chosen::add);
+        ranked.stream()
+                .filter(m -> m.zone().equals(members.getSelf().zone()))
+                .filter(this::isTrusted)
+                .findFirst()
+                .ifPresent(chosen::add);
+        if (!leaving || chosen.isEmpty()) {
+            chosen.add(members.getSelf());
+        }
+        return List.copyOf(chosen);
+    }
+
+    private boolean isTrusted(Member member) {
+        if (member.equals(members.getSelf())) {
+            return !leaving;
+        }
+        Peer peer = peersByName.get(member.name());
+        return peer == null || (!peer.leaving && peer.suspectUntil <= timers.now());
+    }
+
+    private Peer peer(String name) {
+        return peersByName.computeIfAbsent(name, n -> new Peer());
+    }
+
+    private Load load(String service) {
+        return loads.computeIfAbsent(service, s -> new Load());
+    }
+
+    private FleetStagePool pool(String service) {
+        return pools.computeIfAbsent(service, s -> new FleetStagePool(s, context));
+    }
+
+    private static int rankOf(PieceOrder order) {
+        return Math.min(StageBacklog.RANKS - 1, Math.max(0, order.terms().rank()));
+    }
+}
--- a/core/src/main/java/org/fuchsiawharf/core/port/CallFailure.java
+++ b/core/src/main/java/org/fuchsiawharf/core/port/CallFailure.java
@@ -14,6 +14,8 @@
     REFUSED(false),
     /** The endpoint refused it before work, as leaving. */
     LEAVING(false),
+    /** The endpoint refused it before work, because results of earlier stages that it needs are gone. */
+    INPUTS_GONE(false),
     /** The endpoint does not know the attempt that the call wanted to rejoin. */
     RUN_GONE(true),
     /** The connection broke after bytes had left. */
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/AdmitEvery.java
@@ -0,0 +1,13 @@
+package org.fuchsiawharf.core.relay;
+
+/**
+ * Takes every request on: the baseline.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class AdmitEvery implements RequestAdmission {
+    @Override
+    public long retryAfterMillis(Outlook outlook) {
+        return 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RequestAdmission.java
@@ -0,0 +1,27 @@
+package org.fuchsiawharf.core.relay;
+
+/**
+ * Decides at its arrival whether a request is taken on.
+ *
+ * <p>Implementations are stateless and thread-safe.
+ */
+public interface RequestAdmission {
+    /**
+     * Decides about one request.
+     *
+     * @param outlook what is expected of the request, not null
+     * @return 0 to take it on, otherwise after how many milliseconds the caller should come back
+     */
+    long retryAfterMillis(Outlook outlook);
+
+    /**
+     * What is expected of a request.
+     *
+     * @param rank its rank, 0 first
+     * @param waitMillis how much of its time it would wait, in milliseconds
+     * @param doneMillis after how long its first byte would be sent, in milliseconds
+     * @param objectiveMillis what is left of its latency objective, in milliseconds; not positive if it is missed
+     * @param deadlineMillis what is left until its deadline, in milliseconds
+     */
+    record Outlook(int rank, double waitMillis, double doneMillis, double objectiveMillis, double deadlineMillis) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/route/ServiceSpec.java
@@ -0,0 +1,14 @@
+package org.fuchsiawharf.core.route;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A service that requests or pieces go to.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param name the service's name
+ * @param engineSlots the number of requests that each model endpoint runs at once, 0 if it is no model service
+ * @param pieces how its endpoints work on pieces, null if it is no stage service
+ */
+public record ServiceSpec(String name, int engineSlots, @Nullable PieceService pieces) {}
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
@@ -25,6 +25,7 @@
     private final String zone;
     private final Supplier<ConcurrencyLimit> limits;
     private final Map<String, EndpointState> byName = new HashMap<>();
+    private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, ServicePool> pools = new HashMap<>();
 
     /**
@@ -81,6 +82,7 @@
             add(status, changed);
         }
         byName.values().removeIf(state -> isGone(state, listed, changed));
+        incarnations.keySet().retainAll(byName.keySet());
         for (String service : changed) {
             getPool(service).setMembers(membersOf(service));
         }
@@ -89,13 +91,20 @@
 
     private void add(EndpointStatus status, Set<String> changed) {
         EndpointState known = byName.get(status.endpoint().name());
-        if (known == null || !known.getEndpoint().equals(status.endpoint())) {
+        String name = status.endpoint().name();
+        boolean restarted = status.incarnation() != incarnations.getOrDefault(name, 0L);
+        if (known == null || restarted || !known.getEndpoint().equals(status.endpoint())) {
             boolean ownZone = status.endpoint().zone().equals(zone);
             known = new EndpointState(status.endpoint(), ownZone, limits.get(), PRIOR_NANOS);
-            byName.put(status.endpoint().name(), known);
+            byName.put(name, known);
+            incarnations.put(name, status.incarnation());
             changed.add(status.endpoint().service());
         }
-        known.onListed(true, status.leaving() || known.isLeaving());
+        boolean leavingNow = status.leaving() || known.isLeaving();
+        if (leavingNow != known.isLeaving()) {
+            changed.add(status.endpoint().service());
+        }
+        known.onListed(true, leavingNow);
     }
 
     private static boolean isGone(EndpointState state, Set<String> listed, Set<String> changed) {
--- /dev/null
+++ b/peer/src/main/java/org/fuchsiawharf/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between instances: Netty connections that carry protobuf frames. */
+@NullMarked
+package org.fuchsiawharf.peer;
+
+import org.jspecify.annotations.NullMarked;
