Release results once their engine has them

Change: results are released at the first event; a resumed request makes its stages anew. A refusal at the deadline leaves 20 ms before it. A send that is cut stands in the request's line.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -379,6 +379,16 @@
                 case LATE -> finishUnlessQueued(task, PieceResult.Status.LATE);
                 case INPUT_GONE -> finishUnlessQueued(task, PieceResult.Status.INPUT_GONE);
                 case NO_SPACE -> {
+                    log.write(
+                            "piece.no_space",
+                            "request",
+                            task.order.id().requestId(),
+                            "endpoint",
+                            name,
+                            "bytes",
+                            bytes,
+                            "believed_used",
+                            space.getUsed(name, timers.now()));
                     busyUntil.put(name, timers.now() + BUSY_NANOS);
                     requeue(task, false);
                 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -37,6 +37,8 @@
     private static final long SILENT_STREAM_NANOS = 700_000_000L;
     /** How often silence is looked for. */
     private static final long SILENCE_CHECK_NANOS = 200_000_000L;
+    /** Taken off the caller's deadline, so that a refusal still reaches it in time. */
+    private static final long ANSWER_MARGIN_MILLIS = 20;
     /** Advice to come back when no endpoint can take the request now. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
 
@@ -60,6 +62,7 @@
     private @Nullable List<String> inputs;
     private @Nullable Send open;
     private @Nullable EndpointState avoid;
+    private boolean stagesReleased;
     private long stagesNanos;
     private int sends;
     private int effectiveSends;
@@ -94,7 +97,8 @@
         long deadlineMillis = order.request().deadlineMillis() > 0
                 ? Math.min(order.request().deadlineMillis(), route.timeoutMillis())
                 : route.timeoutMillis();
-        this.deadlineNanos = arrivedNanos + deadlineMillis * NANOS_PER_MILLI;
+        this.deadlineNanos =
+                arrivedNanos + Math.max(1, deadlineMillis - ANSWER_MARGIN_MILLIS) * NANOS_PER_MILLI;
         long elapsedMillis = statistics.elapsedMillis(order.request().deadlineMillis());
         this.objectiveNanos = arrivedNanos + (route.objectiveMillis() - elapsedMillis) * NANOS_PER_MILLI;
         Integer priority = order.workspace() == null ? null : order.workspace().priority();
@@ -228,7 +232,9 @@
             return;
         }
         context.meters().count("resends", failure.getWireName());
-        if (failure == CallFailure.INPUTS_GONE) {
+        if (stagesReleased) {
+            restartStages();
+        } else if (failure == CallFailure.INPUTS_GONE) {
             remakeInputs();
         } else if (failure == CallFailure.NOT_SENT) {
             send();
@@ -241,6 +247,16 @@
         }
     }
 
+    private void restartStages() {
+        EndpointState endpoint = select();
+        if (endpoint == null) {
+            giveUp(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", NO_ENDPOINT_RETRY_MILLIS);
+            return;
+        }
+        stagesReleased = false;
+        startStages(endpoint, forecast.foretell(order.route(), order.request().pieces(), rank));
+    }
+
     private void remakeInputs() {
         StageRun run = stages;
         if (run == null || !run.remakeLast(this::isMakerUsable)) {
@@ -258,6 +274,7 @@
     private void onDeadline() {
         Send send = open;
         if (send != null && send.call != null) {
+            send.note("cut");
             send.call.cancel();
             send.close();
         }
@@ -295,14 +312,13 @@
         deadlineTimer.cancel();
         Send send = open;
         if (send != null) {
+            send.note("cut");
             if (send.call != null) {
                 send.call.cancel();
             }
             send.close();
         }
-        if (stages != null) {
-            stages.end();
-        }
+        releaseStages();
         long took = timers.now() - arrivedNanos;
         context.meters().count("requests", outcome);
         context.meters().time("request_seconds", order.route().name(), took);
@@ -310,6 +326,14 @@
         onEnd.run();
     }
 
+    // An engine has its inputs once its stream has begun; another one that resumes it needs them made again.
+    private void releaseStages() {
+        if (stages != null) {
+            stagesReleased = true;
+            stages.end();
+        }
+    }
+
     // -----------------------------------------------------------------------
 
     private void logAdmission(RequestAdmission.Outlook outlook, long retryAfterMillis) {
@@ -434,6 +458,7 @@
             firstEvent = true;
             if (!streamStarted) {
                 streamStarted = true;
+                releaseStages();
                 statistics.onAnswered(timers.now() - sentNanos);
                 context.meters().time("first_event_seconds", order.route().name(), timers.now() - arrivedNanos);
             }
