Test the relay's decisions; archive classes for quick starts

Cause: no test of the new parts; starts load some thousand classes.

Change: tests of pools, queue, requests, budget, members, entries and log; they found that a piece whose every endpoint had failed waited for ever, and that a closing log lost a line. The build archives the classes of a rehearsal.

--- a/core/src/main/java/org/fuchsiawharf/core/log/JsonLineLog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/log/JsonLineLog.java
@@ -73,18 +73,20 @@
     }
 
     private void run() {
+        Line first = null;
         while (running) {
             try {
-                Line first = queue.poll(1, TimeUnit.SECONDS);
+                first = queue.poll(1, TimeUnit.SECONDS);
                 if (first != null) {
                     Thread.sleep(GATHER_MILLIS);
                     writeAll(first);
+                    first = null;
                 }
             } catch (InterruptedException e) {
                 break;
             }
         }
-        writeAll(queue.poll());
+        writeAll(first == null ? queue.poll() : first);
     }
 
     private void writeAll(@Nullable Line first) {
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -141,7 +141,7 @@
     @Override
     public void release(List<String> handles) {
         for (String handle : handles) {
-            String maker = space.release(handle);
+            String maker = space.getMaker(handle);
             if (maker != null) {
                 releases.computeIfAbsent(maker, m -> new ArrayList<>()).add(handle);
             }
@@ -159,10 +159,14 @@
         due.forEach((maker, handles) -> {
             EndpointState state = table.getEndpoint(maker);
             if (state != null) {
-                calls.free(state.getEndpoint(), handles);
+                long sentNanos = timers.now();
+                calls.free(state.getEndpoint(), handles, () -> {
+                    meters.time("results_freed_seconds", service, timers.now() - sentNanos);
+                    handles.forEach(space::free);
+                    dispatch();
+                });
             }
         });
-        dispatch();
     }
 
     // -----------------------------------------------------------------------
@@ -220,7 +224,7 @@
                 offer,
                 timers.now(),
                 zone -> usable.stream().anyMatch(e -> e.getEndpoint().zone().equals(zone)),
-                usable.size() == 1);
+                usable.stream().map(e -> e.getEndpoint().name()).toList());
     }
 
     // All listed endpoints serve if none is healthy: a guess then beats a refusal.
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceCalls.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceCalls.java
@@ -22,12 +22,13 @@
     Call send(Endpoint endpoint, List<PieceOrder> orders, Listener listener);
 
     /**
-     * Tells a maker that results are not needed any more; failures are of no consequence.
+     * Tells a maker that results are not needed any more.
      *
      * @param endpoint the maker, not null
      * @param handles the results, not null
+     * @param onFreed called once the maker has freed them, and never if that is not known, not null
      */
-    void free(Endpoint endpoint, List<String> handles);
+    void free(Endpoint endpoint, List<String> handles, Runnable onFreed);
 
     /** A call under way. */
     @FunctionalInterface
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
@@ -1,6 +1,7 @@
 package org.fuchsiawharf.core.pieces;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
@@ -53,11 +54,11 @@
     }
 
     /** Removes and returns the pieces for one call, the most urgent first; empty if none should go there now. */
-    List<PieceTask> take(Offer offer, long now, Predicate<String> zoneServed, boolean alone) {
+    List<PieceTask> take(Offer offer, long now, Predicate<String> zoneServed, Collection<String> usable) {
         record Candidate(PieceTask task, long key) {}
         List<Candidate> candidates = new ArrayList<>();
         for (PieceTask task : waiting) {
-            if (alone || !task.avoid.contains(offer.endpoint())) {
+            if (!task.avoid.contains(offer.endpoint()) || task.avoid.containsAll(usable)) {
                 long wait = crossingWait(task, offer.zone(), zoneServed);
                 if (now - task.queuedNanos >= wait) {
                     candidates.add(new Candidate(task, key(task, now + offer.callNanos()) + wait));
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ResultSpace.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ResultSpace.java
@@ -9,7 +9,7 @@
 /**
  * The space for results at each endpoint of a service, as far as one pool filled it.
  *
- * <p>A result takes space from the sending of its call until it is released or its time has passed. Confined to
+ * <p>A result takes space from the sending of its call until its maker has freed it or its time has passed. Confined to
  * the decision loop.
  */
 final class ResultSpace {
@@ -40,14 +40,18 @@
         heldByHandle.put(handle, new Held(endpoint, bytes, expiresNanos));
     }
 
-    /** Frees a result's space and returns the name of its maker, null if the pool does not know it. */
+    /** Gets the name of a result's maker, null if the pool does not know it. */
     @Nullable
-    String release(String handle) {
+    String getMaker(String handle) {
+        Held held = heldByHandle.get(handle);
+        return held == null ? null : held.endpoint();
+    }
+
+    /** Frees a result's space. */
+    void free(String handle) {
         Held held = heldByHandle.remove(handle);
-        if (held == null) {
-            return null;
+        if (held != null) {
+            add(held.endpoint(), -held.bytes());
         }
-        add(held.endpoint(), -held.bytes());
-        return held.endpoint();
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/fuchsiawharf/core/log/TestJsonLineLog.java
@@ -0,0 +1,74 @@
+package org.fuchsiawharf.core.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.Test;
+
+class TestJsonLineLog {
+    private final ObjectMapper json = new ObjectMapper();
+
+    @Test
+    void writesOneObjectALine() throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonLineLog log = new JsonLineLog("i1", out, Meters.NONE)) {
+            log.write("request.ended", "request", "a\"b", "took_ms", 12L, "share", 0.5, "none", null, "ok", true);
+            log.write("instance.stopped");
+        }
+        String[] lines = out.toString(StandardCharsets.UTF_8).split("\n");
+        assertThat(lines.length, is(2));
+        JsonNode first = json.readTree(lines[0]);
+        assertThat(first.path("instance").asText(), is("i1"));
+        assertThat(first.path("event").asText(), is("request.ended"));
+        assertThat(first.path("request").asText(), is("a\"b"));
+        assertThat(first.path("took_ms").asLong(), is(12L));
+        assertThat(first.path("none").isNull(), is(true));
+        assertThat(json.readTree(lines[1]).path("event").asText(), is("instance.stopped"));
+    }
+
+    @Test
+    void dropsAndCountsLinesWhileTheOutputBlocks() {
+        CountDownLatch blocked = new CountDownLatch(1);
+        AtomicLong dropped = new AtomicLong();
+        OutputStream stuck = new OutputStream() {
+            @Override
+            public void write(int b) {
+                awaitQuietly(blocked);
+            }
+        };
+        Meters meters = new Meters() {
+            @Override
+            public void count(String name, String label, long amount) {
+                dropped.addAndGet(amount);
+            }
+
+            @Override
+            public void time(String name, String label, long nanos) {}
+        };
+        JsonLineLog log = new JsonLineLog("i1", stuck, meters);
+        // Returns although nothing is ever read: a blocking write would hang the test.
+        for (int i = 0; i < 20_000; i++) {
+            log.write("x", "i", i);
+        }
+        assertThat(dropped.get(), is(greaterThan(10_000L)));
+        blocked.countDown();
+        log.close();
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiawharf/core/member/TestMemberTable.java
@@ -0,0 +1,75 @@
+package org.fuchsiawharf.core.member;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+class TestMemberTable {
+    private static Member member(int i, double capacity) {
+        return new Member("m" + i, 1, "a", "10.0.0." + i, 7_000, capacity);
+    }
+
+    private static MemberTable table(int self, List<Member> all) {
+        MemberTable table = new MemberTable(all.get(self));
+        table.replace(all);
+        return table;
+    }
+
+    private static List<Member> members(int count) {
+        List<Member> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            all.add(member(i, 1));
+        }
+        return all;
+    }
+
+    @Test
+    void ranksOwnersAlikeOnEveryInstance() {
+        List<Member> all = members(9);
+        for (String key : List.of("encode", "retrieve", "rerank")) {
+            assertThat(table(0, all).rankOwners(key), is(table(8, all).rankOwners(key)));
+        }
+    }
+
+    @Test
+    void movesOnlyWhatALeavingMemberOwned() {
+        List<Member> all = members(9);
+        MemberTable before = table(0, all);
+        Member gone = all.get(5);
+        MemberTable after = table(0, all.stream().filter(m -> !m.equals(gone)).toList());
+        for (int i = 0; i < 200; i++) {
+            Member owner = before.rankOwners("key" + i).get(0);
+            if (!owner.equals(gone)) {
+                assertThat(after.rankOwners("key" + i).get(0), is(owner));
+            }
+        }
+    }
+
+    @Test
+    void givesMoreToMembersWithMoreCapacity() {
+        List<Member> all = List.of(member(0, 0.25), member(1, 1));
+        MemberTable table = table(0, all);
+        Map<String, Integer> owned = new HashMap<>();
+        for (int i = 0; i < 1_000; i++) {
+            owned.merge(table.rankOwners("key" + i).get(0).name(), 1, Integer::sum);
+        }
+        assertThat(owned.getOrDefault("m1", 0), is(greaterThan(3 * owned.getOrDefault("m0", 0))));
+    }
+
+    @Test
+    void keepsItselfWhateverTheListSays() {
+        MemberTable table = new MemberTable(member(0, 1));
+        assertThat(table.replace(List.of(member(1, 1))), is(true));
+        assertThat(table.size(), is(2));
+        assertThat(table.replace(List.of(member(1, 1))), is(false));
+        table.replace(List.of());
+        assertThat(table.size(), is(1));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayWorld.java
@@ -0,0 +1,184 @@
+package org.fuchsiawharf.core.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import org.fuchsiawharf.core.health.OutlierEjection;
+import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
+import org.fuchsiawharf.core.log.DecisionLog;
+import org.fuchsiawharf.core.log.Meters;
+import org.fuchsiawharf.core.member.Member;
+import org.fuchsiawharf.core.member.MemberTable;
+import org.fuchsiawharf.core.member.PeerPort;
+import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.core.model.EndpointStatus;
+import org.fuchsiawharf.core.pieces.FakePieceCalls;
+import org.fuchsiawharf.core.pieces.PoolContext;
+import org.fuchsiawharf.core.pieces.StagePools;
+import org.fuchsiawharf.core.retry.SharedRetryBudget;
+import org.fuchsiawharf.core.route.ClientLimits;
+import org.fuchsiawharf.core.route.PieceService;
+import org.fuchsiawharf.core.route.PieceStage;
+import org.fuchsiawharf.core.route.RequestKind;
+import org.fuchsiawharf.core.route.Route;
+import org.fuchsiawharf.core.route.RoutingConfig;
+import org.fuchsiawharf.core.route.ServiceSpec;
+import org.fuchsiawharf.core.route.WeightedService;
+import org.fuchsiawharf.core.route.Workspace;
+import org.fuchsiawharf.core.routing.EndpointTable;
+import org.fuchsiawharf.core.routing.ExpectedCompletionSelector;
+import org.fuchsiawharf.core.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One instance on virtual time, alone, with three plain endpoints, two engines and two stage endpoints.
+ *
+ * <p>Paths: {@code /get/} may be repeated, {@code /post/} not; {@code /chat/} is a stream that may be resumed,
+ * {@code /verdict/} one that may not; {@code /staged/} is such a stream behind two stages. Confined to the test's
+ * thread.
+ */
+final class RelayWorld {
+    static final long MILLI = 1_000_000L;
+    static final String HOST = "h.example";
+    static final String KEY = "key-1";
+
+    final TimerService timers = new TimerService(0);
+    final FakeEndpointCalls calls = new FakeEndpointCalls();
+    final FakePieceCalls pieces = new FakePieceCalls();
+    final RelayInstance instance;
+    final List<String> lines = new ArrayList<>();
+    private final SharedRetryBudget budget;
+    private int nextId;
+
+    RelayWorld() {
+        this(1_000);
+    }
+
+    RelayWorld(double allowance) {
+        DecisionLog log = (event, fields) -> lines.add(event);
+        Member self = new Member("m0", 1, "a", "10.0.1.0", 7_000, 1);
+        EndpointTable table = new EndpointTable("a", NoConcurrencyLimit::new);
+        OutlierEjection health = new OutlierEjection();
+        budget = new SharedRetryBudget(0.2, allowance, 10_000 * MILLI, () -> 1, timers::now);
+        StagePools pools = new StagePools(
+                new MemberTable(self),
+                PeerPort.NONE,
+                new PoolContext(table, health, pieces, timers, budget, log, Meters.NONE));
+        SplittableRandom random = new SplittableRandom(1);
+        instance = new RelayInstance(new RelayContext(
+                table,
+                new ExpectedCompletionSelector(random, 2e6, 150e6),
+                health,
+                pools,
+                calls,
+                budget,
+                new ObjectiveAdmission(),
+                timers,
+                random,
+                log,
+                Meters.NONE));
+        pools.start();
+    }
+
+    /** Creates a world with a configuration and endpoints. */
+    static RelayWorld ready() {
+        RelayWorld world = new RelayWorld();
+        world.instance.adopt(config(1, "plain"));
+        world.listEndpoints();
+        return world;
+    }
+
+    void listEndpoints() {
+        List<EndpointStatus> list = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            list.add(status("p" + i, "plain", 10 + i));
+            list.add(status("x" + i, "other", 20 + i));
+        }
+        for (int i = 0; i < 2; i++) {
+            list.add(status("g" + i, "engine", 30 + i));
+            list.add(status("s" + i, "encode", 40 + i));
+        }
+        instance.onEndpoints(list);
+    }
+
+    static EndpointStatus status(String name, String service, int host) {
+        return new EndpointStatus(new Endpoint(name, service, "a", "10.0.0." + host, 80), false);
+    }
+
+    /** Builds a version in which the plain routes go to the given service. */
+    static RoutingConfig config(long version, String plain) {
+        List<PieceStage> stages =
+                List.of(new PieceStage("encode", List.of(), 1_000), new PieceStage("encode", List.of(0), 1_000));
+        List<Route> routes = List.of(
+                route("get", RequestKind.IDEMPOTENT, plain, 2, List.of()),
+                route("post", RequestKind.NON_IDEMPOTENT, plain, 1, List.of()),
+                route("chat", RequestKind.RESUMABLE_STREAM, "engine", 2, List.of()),
+                route("verdict", RequestKind.SINGLE_STREAM, "engine", 1, List.of()),
+                route("staged", RequestKind.RESUMABLE_STREAM, "engine", 2, stages));
+        List<ServiceSpec> services = List.of(
+                new ServiceSpec(plain, 0, null),
+                new ServiceSpec("engine", 96, null),
+                new ServiceSpec("encode", 0, new PieceService(1, 2, 8, 200, 20, 100, 4_000)));
+        return RoutingConfig.of(
+                version, routes, services, Map.of(KEY, new Workspace("w1", null)), ClientLimits.DEFAULT);
+    }
+
+    private static Route route(
+            String name, RequestKind kind, String service, int attempts, List<PieceStage> stages) {
+        return new Route(
+                name,
+                HOST,
+                "/" + name + "/",
+                kind,
+                4_000,
+                1_000,
+                250,
+                0,
+                List.of(new WeightedService(service, 1)),
+                attempts,
+                stages,
+                false,
+                kind.isStream());
+    }
+
+    RecordingExchange request(String path, long deadlineMillis, Integer... pieceCounts) {
+        return request(path, KEY, deadlineMillis, pieceCounts);
+    }
+
+    RecordingExchange request(String path, @Nullable String key, long deadlineMillis, Integer... pieceCounts) {
+        RecordingExchange exchange = new RecordingExchange();
+        RelayRequest request = new RelayRequest(
+                "r" + nextId++,
+                HOST,
+                path,
+                key,
+                deadlineMillis,
+                false,
+                List.of("root", "session", "own"),
+                1_000,
+                List.of(pieceCounts),
+                "piece-key");
+        instance.onRequest(request, exchange);
+        return exchange;
+    }
+
+    void advance(long millis) {
+        long end = timers.now() + millis * MILLI;
+        while (timers.getNextDue() <= end) {
+            timers.advance(timers.getNextDue());
+        }
+        timers.advance(end);
+    }
+
+    /** Answers every open batch, and those that follow, until none is open. */
+    void makePieces() {
+        for (int i = 0; i < pieces.sent.size(); i++) {
+            if (!pieces.sent.get(i).cancelled) {
+                pieces.sent.get(i).make();
+                pieces.sent.get(i).cancelled = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiawharf/core/retry/TestSharedRetryBudget.java
@@ -0,0 +1,81 @@
+package org.fuchsiawharf.core.retry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+class TestSharedRetryBudget {
+    private static final long SECOND = 1_000_000_000L;
+    private static final double RATIO = 0.2;
+    private static final double ALLOWANCE = 58;
+    private static final long WINDOW = 10 * SECOND;
+
+    private long now;
+    private int instances = 9;
+
+    private SharedRetryBudget newBudget() {
+        return new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW, () -> instances, () -> now);
+    }
+
+    @Test
+    void keepsTheSumOfAllInstancesWithinTheBudgetInEveryWindow() {
+        SplittableRandom random = new SplittableRandom(7);
+        List<SharedRetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            budgets.add(newBudget());
+        }
+        List<Long> requests = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        for (int step = 0; step < 60_000; step++) {
+            now += SECOND / 1_000;
+            if (step % 20_000 == 19_999) {
+                // An instance is replaced; the rest count fewer members at once.
+                budgets.set(random.nextInt(budgets.size()), newBudget());
+                instances = 8;
+            }
+            SharedRetryBudget budget = budgets.get(random.nextInt(budgets.size()));
+            if (random.nextInt(20) == 0) {
+                budget.onRequest("s");
+                requests.add(now);
+            }
+            if (budget.tryRepeat("s")) {
+                repeats.add(now);
+            }
+        }
+        for (long end = WINDOW; end <= now; end += SECOND / 10) {
+            long from = end - WINDOW;
+            long to = end;
+            long sent = repeats.stream().filter(t -> t > from && t <= to).count();
+            long asked = requests.stream().filter(t -> t > from && t <= to).count();
+            assertThat((double) sent, is(lessThanOrEqualTo(RATIO * asked + ALLOWANCE)));
+        }
+        assertThat(repeats.size(), is(greaterThan(200)));
+    }
+
+    @Test
+    void countsEachServiceByItself() {
+        instances = 1;
+        SharedRetryBudget budget = newBudget();
+        while (budget.tryRepeat("a")) {
+            now++;
+        }
+        assertThat(budget.tryRepeat("b"), is(true));
+    }
+
+    @Test
+    void givesRoomAgainAWindowLater() {
+        SharedRetryBudget budget = newBudget();
+        while (budget.tryRepeat("a")) {
+            now++;
+        }
+        now += WINDOW + SECOND + 1;
+        assertThat(budget.tryRepeat("a"), is(true));
+    }
+}
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,3 +7,5 @@
 mkdir -p target/entry/lib
 cp platform/target/platform-*.jar target/entry/platform.jar
 cp platform/target/lib/*.jar target/entry/lib/
+java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ArchiveClassesAtExit=target/entry.jsa -Xlog:disable \
+  -jar target/entry/platform.jar --rehearse
