--- /dev/null
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
@@ -0,0 +1,353 @@
+package org.fuchsiawharf.core.relay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import org.fuchsiawharf.core.health.OutlierEjection;
+import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
+import org.fuchsiawharf.core.log.DecisionLog;
+import org.fuchsiawharf.core.log.Meters;
+import org.fuchsiawharf.core.member.Member;
+import org.fuchsiawharf.core.member.MemberTable;
+import org.fuchsiawharf.core.member.PeerMessage;
+import org.fuchsiawharf.core.member.PeerPort;
+import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.core.model.EndpointStatus;
+import org.fuchsiawharf.core.pieces.PieceCalls;
+import org.fuchsiawharf.core.pieces.PieceOrder;
+import org.fuchsiawharf.core.pieces.PoolContext;
+import org.fuchsiawharf.core.pieces.StagePools;
+import org.fuchsiawharf.core.port.CallFailure;
+import org.fuchsiawharf.core.retry.SharedRetryBudget;
+import org.fuchsiawharf.core.route.ClientLimits;
+import org.fuchsiawharf.core.route.PieceService;
+import org.fuchsiawharf.core.route.Route;
+import org.fuchsiawharf.core.route.RoutingConfig;
+import org.fuchsiawharf.core.route.ServiceSpec;
+import org.fuchsiawharf.core.routing.EndpointTable;
+import org.fuchsiawharf.core.routing.ExpectedCompletionSelector;
+import org.fuchsiawharf.core.time.TimerService;
+
+/**
+ * Plays an open load on a fleet of instances and counts what callers get, on virtual time and without a network.
+ *
+ * <p>Stage endpoints run one call at a time and let two wait; engines begin to answer after the reading of the
+ * prompt. Confined to the test's thread.
+ */
+final class FleetLoad {
+    private static final long MILLI = 1_000_000L;
+    private static final long HOP_NANOS = MILLI;
+    private static final int ENDPOINT_QUEUE = 2;
+    private static final String ENGINE = "engine";
+    private static final List<String> ZONES = List.of("a", "b", "c");
+
+    /**
+     * A kind of request.
+     *
+     * @param route its route
+     * @param perSecond its requests a second
+     * @param pieces draws the number of pieces of each stage
+     * @param readMillis how long an engine reads its prompt
+     */
+    record Kind(Route route, double perSecond, java.util.function.Function<SplittableRandom, List<Integer>> pieces,
+            long readMillis) {}
+
+    /**
+     * A stage service.
+     *
+     * @param name its name
+     * @param spec how its endpoints work
+     * @param endpoints the number of its endpoints
+     */
+    record Stage(String name, PieceService spec, int endpoints) {}
+
+    /** What the callers of one kind got. */
+    static final class Tally {
+        int offered;
+        int onTime;
+        int late;
+        int refused;
+
+        double onTimeShare() {
+            return offered == 0 ? 1 : onTime / (double) offered;
+        }
+
+        @Override
+        public String toString() {
+            return String.format("%.3f on time, %.3f late, %.3f refused of %d", onTimeShare(),
+                    late / (double) offered, refused / (double) offered, offered);
+        }
+    }
+
+    private final TimerService timers = new TimerService(0);
+    private final SplittableRandom random;
+    private final List<Kind> kinds;
+    private final List<Stage> stages;
+    private final boolean pooled;
+    private final RequestAdmission admission;
+    private final Map<String, SimulatedEndpoint> endpoints = new HashMap<>();
+    private final List<EndpointStatus> listed = new ArrayList<>();
+    private final List<RelayInstance> instances = new ArrayList<>();
+    private final Map<String, StagePools> poolsByName = new HashMap<>();
+    private final Map<String, Tally> tallies = new TreeMap<>();
+    private int nextId;
+
+    FleetLoad(List<Kind> kinds, List<Stage> stages, boolean pooled, RequestAdmission admission, long seed) {
+        this.kinds = kinds;
+        this.stages = stages;
+        this.pooled = pooled;
+        this.admission = admission;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** Plays the kinds at so many times their usual rate and tells what callers got. */
+    Map<String, Tally> play(int instanceCount, double load, long seconds) {
+        listEndpoints();
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < instanceCount; i++) {
+            members.add(new Member("m" + i, 1, ZONES.get(i % 3), "10.1.0." + i, 7_000, 1));
+        }
+        members.forEach(member -> instances.add(newInstance(member, members)));
+        for (Kind kind : kinds) {
+            tallies.put(kind.route().name(), new Tally());
+            schedule(kind, load, seconds * 1_000 * MILLI);
+        }
+        long end = (seconds + 10) * 1_000 * MILLI;
+        while (timers.getNextDue() <= end) {
+            timers.advance(timers.getNextDue());
+        }
+        return tallies;
+    }
+
+    private void schedule(Kind kind, double load, long end) {
+        double seconds = -Math.log(1 - random.nextDouble()) / (kind.perSecond() * load);
+        long at = timers.now() + (long) (seconds * 1e9);
+        if (at < end) {
+            timers.schedule(at, () -> {
+                arrive(kind);
+                schedule(kind, load, end);
+            });
+        }
+    }
+
+    private void arrive(Kind kind) {
+        Tally tally = Objects.requireNonNull(tallies.get(kind.route().name()));
+        tally.offered++;
+        long arrived = timers.now();
+        RelayRequest request = new RelayRequest(
+                "r" + nextId++,
+                kind.route().host(),
+                kind.route().prefix() + "x",
+                null,
+                kind.route().timeoutMillis(),
+                false,
+                List.of("session" + random.nextInt(160), "own" + nextId),
+                1_000,
+                kind.pieces().apply(random),
+                "key");
+        instances.get(random.nextInt(instances.size())).onRequest(request, new CallerExchange() {
+            @Override
+            public void refuse(Refusal refusal) {
+                tally.refused++;
+            }
+
+            @Override
+            public void relay(EndpointAnswer answer) {
+                throw new IllegalStateException("engines answer with streams here");
+            }
+
+            @Override
+            public void finishStream() {
+                if (timers.now() - arrived <= kind.route().objectiveMillis() * MILLI) {
+                    tally.onTime++;
+                } else {
+                    tally.late++;
+                }
+            }
+
+            @Override
+            public void breakOff() {
+                tally.refused++;
+            }
+        });
+    }
+
+    // -----------------------------------------------------------------------
+
+    private void listEndpoints() {
+        int host = 0;
+        for (Stage stage : stages) {
+            for (int i = 0; i < stage.endpoints(); i++) {
+                addEndpoint(stage.name() + "-" + i, stage.name(), i, host++, stage.spec());
+            }
+        }
+        for (int i = 0; i < 6; i++) {
+            addEndpoint(ENGINE + "-" + i, ENGINE, i, host++, null);
+        }
+    }
+
+    private void addEndpoint(
+            String name, String service, int index, int host, @org.jspecify.annotations.Nullable PieceService spec) {
+        Endpoint endpoint = new Endpoint(name, service, ZONES.get(index % 3), "10.2.0." + host, 80);
+        listed.add(new EndpointStatus(endpoint, false));
+        if (spec != null) {
+            endpoints.put(name, new SimulatedEndpoint(endpoint, spec));
+        }
+    }
+
+    private RelayInstance newInstance(Member self, List<Member> all) {
+        MemberTable members = new MemberTable(self);
+        if (pooled) {
+            members.replace(all);
+        }
+        EndpointTable table = new EndpointTable(self.zone(), NoConcurrencyLimit::new);
+        OutlierEjection health = new OutlierEjection();
+        SharedRetryBudget budget =
+                new SharedRetryBudget(0.2, 58, 10_000 * MILLI, members::size, timers::now);
+        PieceCalls pieceCalls = new SimulatedPieceCalls();
+        StagePools pools = new StagePools(
+                members,
+                new SimulatedPeers(self.name(), all),
+                new PoolContext(table, health, pieceCalls, timers, budget, DecisionLog.NONE, Meters.NONE));
+        poolsByName.put(self.name(), pools);
+        SplittableRandom own = random.split();
+        RelayInstance instance = new RelayInstance(new RelayContext(
+                table,
+                new ExpectedCompletionSelector(own, 2e6, 150e6),
+                health,
+                pools,
+                this::callEngine,
+                budget,
+                admission,
+                timers,
+                own,
+                DecisionLog.NONE,
+                Meters.NONE));
+        List<ServiceSpec> services = new ArrayList<>();
+        services.add(new ServiceSpec(ENGINE, 96, null));
+        stages.forEach(stage -> services.add(new ServiceSpec(stage.name(), 0, stage.spec())));
+        pools.start();
+        instance.adopt(RoutingConfig.of(
+                1, kinds.stream().map(Kind::route).toList(), services, Map.of(), ClientLimits.DEFAULT));
+        instance.onEndpoints(listed);
+        return instance;
+    }
+
+    private EndpointCalls.Call callEngine(
+            CallerExchange exchange, Endpoint endpoint, EndpointCalls.Terms terms, EndpointCalls.Listener listener) {
+        long read = kinds.stream()
+                .filter(kind -> kind.route().priority() == terms.rank())
+                .mapToLong(Kind::readMillis)
+                .findFirst()
+                .orElse(50);
+        timers.schedule(timers.now() + read * MILLI, () -> {
+            listener.onStreamStarted();
+            listener.onStreamEnded(1);
+        });
+        return new EndpointCalls.Call() {
+            @Override
+            public void cancel() {}
+
+            @Override
+            public long getHeardNanos() {
+                return timers.now();
+            }
+        };
+    }
+
+    /** Messages between instances that take one hop. */
+    private final class SimulatedPeers implements PeerPort {
+        private final String self;
+        private final List<Member> all;
+
+        private SimulatedPeers(String self, List<Member> all) {
+            this.self = self;
+            this.all = all;
+        }
+
+        @Override
+        public void connect(Collection<Member> peers) {}
+
+        @Override
+        public boolean send(String member, PeerMessage message) {
+            timers.schedule(
+                    timers.now() + HOP_NANOS, () -> Objects.requireNonNull(poolsByName.get(member)).onMessage(self, message));
+            return true;
+        }
+
+        @Override
+        public void reset(String member) {}
+
+        @Override
+        public Collection<String> connected() {
+            return pooled
+                    ? all.stream().map(Member::name).filter(n -> !n.equals(self)).toList()
+                    : List.of();
+        }
+    }
+
+    private final class SimulatedPieceCalls implements PieceCalls {
+        @Override
+        public Call send(Endpoint endpoint, List<PieceOrder> orders, Listener listener) {
+            SimulatedEndpoint target = Objects.requireNonNull(endpoints.get(endpoint.name()));
+            timers.schedule(timers.now() + HOP_NANOS, () -> target.accept(orders, listener));
+            return () -> {};
+        }
+
+        @Override
+        public void free(Endpoint endpoint, List<String> handles, Runnable onFreed) {
+            timers.schedule(timers.now() + HOP_NANOS, onFreed);
+        }
+    }
+
+    /** An endpoint that works on one call at a time. */
+    private final class SimulatedEndpoint {
+        private final Endpoint endpoint;
+        private final PieceService spec;
+        private final Deque<Runnable> queue = new ArrayDeque<>();
+        private boolean busy;
+
+        private SimulatedEndpoint(Endpoint endpoint, PieceService spec) {
+            this.endpoint = endpoint;
+            this.spec = spec;
+        }
+
+        private void accept(List<PieceOrder> orders, PieceCalls.Listener listener) {
+            if (busy && queue.size() >= ENDPOINT_QUEUE) {
+                timers.schedule(
+                        timers.now() + HOP_NANOS, () -> listener.onFailed(CallFailure.REFUSED, "full"));
+                return;
+            }
+            queue.add(() -> run(orders, listener));
+            next();
+        }
+
+        private void next() {
+            if (!busy && !queue.isEmpty()) {
+                busy = true;
+                queue.remove().run();
+            }
+        }
+
+        private void run(List<PieceOrder> orders, PieceCalls.Listener listener) {
+            long took = (long) (spec.callMillisFor(orders.size()) * MILLI);
+            timers.schedule(timers.now() + took, () -> {
+                busy = false;
+                List<PieceCalls.Answer> answers = orders.stream()
+                        .map(order -> new PieceCalls.Answer(
+                                PieceCalls.AnswerKind.MADE, endpoint.host() + ":80/" + order.id()))
+                        .toList();
+                timers.schedule(timers.now() + HOP_NANOS, () -> listener.onAnswered(answers));
+                next();
+            });
+        }
+    }
+}
