Send nothing for a caller that left; forecast and place stages better

Change: an exchange that is over is not sent; no space is no attempt and fills the endpoint for 300 ms; results are freed at their makers if their pool is not reached; ranks combine; forecasts are corrected by what stages took; what cannot end before its deadline is refused at once; a stage follows its inputs' zone; owners are taken among connected instances only.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -37,8 +37,10 @@
     private static final long STUCK_SLACK_NANOS = 200_000_000L;
     /** A call that takes so many times its expected time is given up; above the slowness that is worth waiting for. */
     private static final double ABANDON_FACTOR = 8.0;
-    /** How long an endpoint that was full or out of space is left alone; about half a call. */
+    /** How long an endpoint whose queue was full is left alone; about half a call. */
     private static final long BUSY_NANOS = 120_000_000L;
+    /** How long an endpoint counts as full that had no space for a result; about a call. */
+    private static final long FULL_NANOS = 300_000_000L;
     /** How often waiting pieces are looked at again while endpoints are idle. */
     private static final long RECHECK_NANOS = 25_000_000L;
     /** How long releases are gathered for one call to their maker. */
@@ -393,7 +395,8 @@
                             bytes,
                             "believed_used",
                             space.getUsed(name, timers.now()));
-                    busyUntil.put(name, timers.now() + BUSY_NANOS);
+                    noteFull();
+                    task.attempts--;
                     requeue(task, false);
                 }
                 default -> {
@@ -403,6 +406,15 @@
             }
         }
 
+        // Results that this pool does not know of fill the endpoint; they lapse or are freed by others.
+        private void noteFull() {
+            long unknown = (long) (known.resultSpaceMb() * 1e6) - space.getUsed(name, timers.now());
+            if (unknown > 0) {
+                space.add(name, unknown);
+                space.hold("unknown/" + name + "/" + timers.now(), name, unknown, timers.now() + FULL_NANOS);
+            }
+        }
+
         private void finishUnlessQueued(PieceTask task, PieceResult.Status status) {
             if (!stuck) {
                 finish(task, PieceResult.unmade(task.order.id(), status));
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
@@ -19,8 +19,8 @@
  * <p>Confined to the decision loop.
  */
 final class PieceQueue {
-    /** How much later the next rank counts as due; about one call of a stage. */
-    private static final long RANK_LEAD_NANOS = 300_000_000L;
+    /** How much later the next rank counts as due; about half a call of a stage. */
+    private static final long RANK_LEAD_NANOS = 150_000_000L;
     /** How much later a piece counts as due that cannot make its due time; more than any objective's spread. */
     private static final long MISSED_DELAY_NANOS = 10_000_000_000L;
     /** The longest wait before a piece goes to another availability zone; about one call of a stage. */
@@ -94,7 +94,7 @@
 
     /** Counts the waiting pieces of each rank. */
     List<Integer> countByRank() {
-        Integer[] counts = {0, 0, 0, 0};
+        Integer[] counts = {0, 0, 0, 0, 0, 0};
         for (PieceTask task : waiting) {
             counts[
                     Math.min(
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StageBacklog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StageBacklog.java
@@ -13,10 +13,10 @@
  */
 public record StageBacklog(List<Integer> queuedByRank, int endpoints, int idle) {
     /** The number of ranks that are told apart. */
-    public static final int RANKS = 4;
+    public static final int RANKS = 6;
 
     /** Nothing is known to wait. */
-    public static final StageBacklog EMPTY = new StageBacklog(List.of(0, 0, 0, 0), 0, 0);
+    public static final StageBacklog EMPTY = new StageBacklog(List.of(0, 0, 0, 0, 0, 0), 0, 0);
 
     /** Copies the list. */
     public StageBacklog {
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -15,6 +15,7 @@
 import org.fuchsiawharf.core.member.PeerMessage;
 import org.fuchsiawharf.core.member.PeerPort;
 import org.fuchsiawharf.core.route.ServiceSpec;
+import org.fuchsiawharf.core.routing.EndpointState;
 import org.fuchsiawharf.core.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -35,6 +36,8 @@
     private static final long SILENCE_NANOS = 450_000_000L;
     /** How long a silent owner is left alone before pieces go there again. */
     private static final long SUSPECT_NANOS = 1_500_000_000L;
+    /** Owners of a service that connections are kept with, in all and in the own zone: some may go together. */
+    private static final int OWNERS_CONNECTED = 3;
     /** Heartbeats slow down above this many connections, so that their cost stays bounded. */
     private static final int FULL_RATE_CONNECTIONS = 16;
 
@@ -128,7 +131,9 @@
     public void onMembersChanged() {
         Set<Member> wanted = new HashSet<>();
         for (String service : services) {
-            wanted.addAll(candidates(service));
+            List<Member> ranked = members.rankOwners(service);
+            ranked.stream().limit(OWNERS_CONNECTED).forEach(wanted::add);
+            ranked.stream().filter(this::isOwnZone).limit(OWNERS_CONNECTED).forEach(wanted::add);
         }
         wanted.remove(members.getSelf());
         peers.connect(wanted);
@@ -202,12 +207,22 @@
         byOwner.forEach((owner, list) -> {
             if (owner.equals(members.getSelf().name())) {
                 pool(service).release(list);
-            } else {
-                peers.send(owner, new PeerMessage.ReleaseResults(service, list));
+            } else if (!peers.send(owner, new PeerMessage.ReleaseResults(service, list))) {
+                freeAtMakers(list);
             }
         });
     }
 
+    // The pool that had them made is not reached; its makers are told at once.
+    private void freeAtMakers(List<String> handles) {
+        for (String handle : handles) {
+            EndpointState maker = context.table().findByHandle(handle);
+            if (maker != null) {
+                context.calls().free(maker.getEndpoint(), List.of(handle), () -> {});
+            }
+        }
+    }
+
     /**
      * Gets how much waits for a service, with what was sent since its owner told.
      *
@@ -442,7 +457,7 @@
         Set<Member> chosen = new java.util.LinkedHashSet<>();
         ranked.stream().filter(this::isTrusted).findFirst().ifPresent(chosen::add);
         ranked.stream()
-                .filter(m -> m.zone().equals(members.getSelf().zone()))
+                .filter(this::isOwnZone)
                 .filter(this::isTrusted)
                 .findFirst()
                 .ifPresent(chosen::add);
@@ -457,7 +472,12 @@
             return !leaving;
         }
         Peer peer = peersByName.get(member.name());
-        return peer == null || (!peer.leaving && peer.suspectUntil <= timers.now());
+        boolean suspected = peer != null && (peer.leaving || peer.suspectUntil > timers.now());
+        return !suspected && peers.connected().contains(member.name());
+    }
+
+    private boolean isOwnZone(Member member) {
+        return member.zone().equals(members.getSelf().zone());
     }
 
     private Peer peer(String name) {
--- a/core/src/main/java/org/fuchsiawharf/core/relay/AdmitEvery.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/AdmitEvery.java
@@ -7,7 +7,7 @@
  */
 public final class AdmitEvery implements RequestAdmission {
     @Override
-    public long retryAfterMillis(Outlook outlook) {
-        return 0;
+    public Verdict decide(Outlook outlook) {
+        return Verdict.ADMIT;
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/ObjectiveAdmission.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/ObjectiveAdmission.java
@@ -6,30 +6,34 @@
  * <p>Answers the load of bursts beyond capacity: work that ends after its objective takes the place of work that
  * would end before, until everything is late. Each rank may fill less of its objective than the one before, so that
  * the queue that a less urgent request joins leaves time for more urgent ones to overtake it. A request that meets
- * no queue is always taken on: refusing it would help nobody.
+ * no queue is taken on even if it will be late: refusing it would help nobody. One that cannot end before its
+ * deadline is refused without advice to come back.
  *
  * <p>Stateless and thread-safe.
  */
 public final class ObjectiveAdmission implements RequestAdmission {
     /** The share of the objective that the expected time may fill, by rank. */
-    private static final double[] FILL_BY_RANK = {1.15, 1.05, 0.95, 0.9};
+    private static final double[] FILL_BY_RANK = {1.1, 1.05, 0.95, 1.0, 0.95, 0.9};
     /** The shortest advice to come back; a caller needs a round trip and a new connection anyway. */
     private static final long MIN_RETRY_MILLIS = 150;
     /** The longest advice; a burst lasts seconds, and what waits is worked off faster than that. */
     private static final long MAX_RETRY_MILLIS = 3_000;
 
     @Override
-    public long retryAfterMillis(Outlook outlook) {
+    public Verdict decide(Outlook outlook) {
+        if (outlook.doneMillis() > outlook.deadlineMillis()) {
+            return Verdict.refuse(0);
+        }
         if (outlook.waitMillis() <= 0) {
-            return 0;
+            return Verdict.ADMIT;
         }
         double fill = FILL_BY_RANK[Math.min(FILL_BY_RANK.length - 1, Math.max(0, outlook.rank()))];
         boolean late = outlook.objectiveMillis() <= 0;
         double bound = late ? outlook.deadlineMillis() / 2 : outlook.objectiveMillis() * fill;
         if (outlook.doneMillis() <= bound) {
-            return 0;
+            return Verdict.ADMIT;
         }
         double excess = Math.min(outlook.waitMillis(), outlook.doneMillis() - bound);
-        return (long) Math.min(MAX_RETRY_MILLIS, Math.max(MIN_RETRY_MILLIS, 2 * excess));
+        return Verdict.refuse((long) Math.min(MAX_RETRY_MILLIS, Math.max(MIN_RETRY_MILLIS, 2 * excess)));
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -39,6 +39,8 @@
     private static final long SILENCE_CHECK_NANOS = 200_000_000L;
     /** Taken off the caller's deadline, so that a refusal still reaches it in time. */
     private static final long ANSWER_MARGIN_MILLIS = 20;
+    /** The priorities of routes that are told apart within one priority of workspaces. */
+    private static final int ROUTE_RANKS = 3;
     /** Advice to come back when no endpoint can take the request now. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
 
@@ -63,6 +65,7 @@
     private @Nullable Send open;
     private @Nullable EndpointState avoid;
     private boolean stagesReleased;
+    private double forecastMillis;
     private long stagesNanos;
     private int sends;
     private int effectiveSends;
@@ -101,7 +104,7 @@
         long elapsedMillis = statistics.elapsedMillis(order.request().deadlineMillis());
         this.objectiveNanos = arrivedNanos + (route.objectiveMillis() - elapsedMillis) * NANOS_PER_MILLI;
         Integer priority = order.workspace() == null ? null : order.workspace().priority();
-        this.rank = priority == null ? route.priority() : priority;
+        this.rank = combineRanks(priority, route.priority());
         this.prefixKey = route.affinity() ? hash(order.request().sharedPart()) : 0;
         this.service = route.chooseService(
                 context.random().nextDouble(), s -> context.table().getPool(s).isServing());
@@ -123,34 +126,45 @@
             return;
         }
         StageForecast.Ends ends = forecast.foretell(route, order.request().pieces(), rank);
-        double doneMillis = ends.lastMillis() + statistics.getAnswerMillis();
+        double bias = statistics.getStageBias();
         RequestAdmission.Outlook outlook = new RequestAdmission.Outlook(
                 rank,
                 ends.waitMillis(),
-                doneMillis,
+                ends.lastMillis() * bias + statistics.getAnswerMillis(),
                 (objectiveNanos - timers.now()) / (double) NANOS_PER_MILLI,
                 (deadlineNanos - timers.now()) / (double) NANOS_PER_MILLI);
-        long retryAfter = context.admission().retryAfterMillis(outlook);
-        logAdmission(outlook, retryAfter);
-        if (retryAfter > 0) {
+        RequestAdmission.Verdict verdict = context.admission().decide(outlook);
+        logAdmission(outlook, verdict);
+        if (!verdict.admitted()) {
             // Spread, so that callers refused together do not come back together.
-            long spread = (long) (retryAfter * (1 + context.random().nextDouble()));
-            refuseNotRun(ErrorCode.OVERLOADED, "the stages are full", spread);
+            long spread =
+                    (long) (verdict.retryAfterMillis() * (1 + context.random().nextDouble()));
+            refuseNotRun(ErrorCode.OVERLOADED, "the request cannot be done in time", spread);
             return;
         }
+        forecastMillis = ends.lastMillis();
         startStages(endpoint, ends);
     }
 
     private void startStages(EndpointState endpoint, StageForecast.Ends ends) {
         double last = ends.lastMillis();
         List<Long> due = new ArrayList<>();
+        List<Long> deadlines = new ArrayList<>();
         for (double end : ends.endMillis()) {
             // A stage that others follow must leave them their time.
-            due.add(objectiveNanos - (long) ((last - end + statistics.getAnswerMillis()) * NANOS_PER_MILLI));
+            long after = (long) ((last - end + statistics.getAnswerMillis()) * NANOS_PER_MILLI);
+            due.add(objectiveNanos - after);
+            deadlines.add(deadlineNanos - after);
         }
-        StageRun.Plan plan = new StageRun.Plan(rank, endpoint.getEndpoint().zone(), due, deadlineNanos);
+        StageRun.Plan plan = new StageRun.Plan(rank, endpoint.getEndpoint().zone(), due, deadlines);
         StageRun run = new StageRun(
-                order.request(), order.route(), context.pools(), plan, this::onStagesReady, this::onStagesFailed);
+                order.request(),
+                order.route(),
+                context.pools(),
+                plan,
+                this::findZone,
+                this::onStagesReady,
+                this::onStagesFailed);
         stages = run;
         run.start();
     }
@@ -160,6 +174,7 @@
             inputs = handles;
             stagesNanos = timers.now() - arrivedNanos;
             context.meters().time("stages_seconds", order.route().name(), stagesNanos);
+            statistics.onStagesDone(forecastMillis, stagesNanos / (double) NANOS_PER_MILLI);
             send();
         }
     }
@@ -264,10 +279,13 @@
     }
 
     private boolean isMakerUsable(String handle) {
-        return context.table().getEndpoints().stream()
-                .filter(EndpointState::isUsable)
-                .map(EndpointState::getEndpoint)
-                .anyMatch(e -> handle.startsWith(e.host() + ":" + e.port() + "/"));
+        EndpointState maker = context.table().findByHandle(handle);
+        return maker != null && maker.isUsable();
+    }
+
+    private String findZone(String handle) {
+        EndpointState maker = context.table().findByHandle(handle);
+        return maker == null ? "" : maker.getEndpoint().zone();
     }
 
     private void onDeadline() {
@@ -335,11 +353,11 @@
 
     // -----------------------------------------------------------------------
 
-    private void logAdmission(RequestAdmission.Outlook outlook, long retryAfterMillis) {
+    private void logAdmission(RequestAdmission.Outlook outlook, RequestAdmission.Verdict verdict) {
         String first = order.route().stages().get(0).service();
         context.log()
                 .write(
-                        retryAfterMillis == 0 ? "request.admitted" : "request.not_admitted",
+                        verdict.admitted() ? "request.admitted" : "request.not_admitted",
                         "request",
                         order.request().id(),
                         "route",
@@ -352,6 +370,10 @@
                         Math.round(outlook.doneMillis()),
                         "objective_ms",
                         Math.round(outlook.objectiveMillis()),
+                        "deadline_ms",
+                        Math.round(outlook.deadlineMillis()),
+                        "retry_after_ms",
+                        verdict.retryAfterMillis(),
                         "backlog_age_ms",
                         context.pools().getBacklogAge(first) / NANOS_PER_MILLI);
     }
@@ -382,6 +404,11 @@
                         retryAfterMillis);
     }
 
+    // A workspace's priority goes before that of the route, which still tells its requests apart.
+    private static int combineRanks(@Nullable Integer workspace, int route) {
+        return workspace == null ? route : workspace * ROUTE_RANKS + Math.min(route, ROUTE_RANKS - 1);
+    }
+
     private static long hash(String part) {
         byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
         return bytes.length == 0 ? 0 : MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0];
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RequestAdmission.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RequestAdmission.java
@@ -10,9 +10,30 @@
      * Decides about one request.
      *
      * @param outlook what is expected of the request, not null
-     * @return 0 to take it on, otherwise after how many milliseconds the caller should come back
+     * @return the decision, never null
      */
-    long retryAfterMillis(Outlook outlook);
+    Verdict decide(Outlook outlook);
+
+    /**
+     * Whether a request is taken on.
+     *
+     * @param admitted whether it is
+     * @param retryAfterMillis if it is not, after how many milliseconds the caller should come back; 0 for no advice
+     */
+    record Verdict(boolean admitted, long retryAfterMillis) {
+        /** Takes a request on. */
+        public static final Verdict ADMIT = new Verdict(true, 0);
+
+        /**
+         * Refuses a request.
+         *
+         * @param retryAfterMillis after how many milliseconds the caller should come back, 0 for no advice
+         * @return the decision, never null
+         */
+        public static Verdict refuse(long retryAfterMillis) {
+            return new Verdict(false, retryAfterMillis);
+        }
+    }
 
     /**
      * What is expected of a request.
--- a/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 
@@ -32,6 +35,7 @@
     private final Route route;
     private final StagePools pools;
     private final Plan plan;
+    private final Function<String, String> findZone;
     private final Consumer<List<String>> onReady;
     private final Consumer<PieceResult.Status> onFailed;
     private final StageState[] stages;
@@ -45,11 +49,12 @@
      * @param rank the request's rank
      * @param zone the availability zone of the endpoint that will need the results
      * @param dueNanos when each stage should be done for the request to meet its objective
-     * @param deadlineNanos when the results have no use any more
+     * @param deadlineNanos when the results of each stage have no use any more
      */
-    record Plan(int rank, String zone, List<Long> dueNanos, long deadlineNanos) {
+    record Plan(int rank, String zone, List<Long> dueNanos, List<Long> deadlineNanos) {
         Plan {
             dueNanos = List.copyOf(dueNanos);
+            deadlineNanos = List.copyOf(deadlineNanos);
         }
     }
 
@@ -91,12 +96,14 @@
             Route route,
             StagePools pools,
             Plan plan,
+            Function<String, String> findZone,
             Consumer<List<String>> onReady,
             Consumer<PieceResult.Status> onFailed) {
         this.request = request;
         this.route = route;
         this.pools = pools;
         this.plan = plan;
+        this.findZone = findZone;
         this.onReady = onReady;
         this.onFailed = onFailed;
         this.stages = new StageState[route.stages().size()];
@@ -168,11 +175,11 @@
         String key = spec.after().isEmpty() ? request.pieceKey() : null;
         PieceTerms terms = new PieceTerms(
                 plan.rank(),
-                plan.zone(),
+                inputBytes > stages[stage].handles.length * spec.resultBytes() ? zoneOf(inputs) : plan.zone(),
                 spec.resultBytes(),
                 inputBytes,
                 plan.dueNanos().get(stage),
-                plan.deadlineNanos());
+                plan.deadlineNanos().get(stage));
         List<PieceOrder> orders = new ArrayList<>();
         for (int piece : pieces) {
             stages[stage].ordered[piece] = true;
@@ -181,6 +188,16 @@
         pools.submit(spec.service(), orders, this::onResult);
     }
 
+    // Where most of the inputs lie.
+    private String zoneOf(List<String> inputs) {
+        Map<String, Integer> counts = new HashMap<>();
+        inputs.forEach(handle -> counts.merge(findZone.apply(handle), 1, Integer::sum));
+        return counts.entrySet().stream()
+                .max(Map.Entry.comparingByValue())
+                .map(Map.Entry::getKey)
+                .orElse(plan.zone());
+    }
+
     private void onResult(PieceResult result) {
         int stage = result.id().stage();
         if (ended) {
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
@@ -49,6 +49,23 @@
         return byName.get(name);
     }
 
+    /**
+     * Finds the endpoint that made a result.
+     *
+     * @param handle the result's name, which begins with its maker's address and a slash, not null
+     * @return the state, null if no known endpoint has the address
+     */
+    public @Nullable EndpointState findByHandle(String handle) {
+        for (EndpointState state : byName.values()) {
+            String address =
+                    state.getEndpoint().host() + ":" + state.getEndpoint().port() + "/";
+            if (handle.startsWith(address)) {
+                return state;
+            }
+        }
+        return null;
+    }
+
     /**
      * Gets every endpoint's state.
      *
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
@@ -76,13 +76,16 @@
     }
 
     @Test
-    void asksAgainAfterAnEndpointHadNoSpace() {
+    void asksAgainHoweverOftenAnEndpointHadNoSpace() {
         PoolWorld world = new PoolWorld(4, 100, "a");
         world.submit("r", 1, world.terms(1_000, LONG));
-        world.calls.last().answer(AnswerKind.NO_SPACE);
+        for (int i = 0; i < 5; i++) {
+            world.calls.last().answer(AnswerKind.NO_SPACE);
+            assertThat(world.calls.sent, hasSize(i + 1));
+            world.advance(400);
+            assertThat(world.calls.sent, hasSize(i + 2));
+        }
         assertThat(world.results, is(empty()));
-        world.advance(200);
-        assertThat(world.calls.sent, hasSize(2));
     }
 
     @Test
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestPieceQueue.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestPieceQueue.java
@@ -40,9 +40,9 @@
     @Test
     void letsAnUrgentRankGoFirstButNotForEver() {
         add("low", terms(1, "", 0, 2_000));
-        add("high", terms(0, "", 0, 2_200));
+        add("high", terms(0, "", 0, 2_100));
         assertThat(take(1, "a", 0), contains("high"));
-        add("later", terms(0, "", 0, 2_400));
+        add("later", terms(0, "", 0, 2_300));
         assertThat(take(1, "a", 0), contains("low"));
     }
 
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/EdgeExchange.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/EdgeExchange.java
@@ -49,13 +49,22 @@
         return head;
     }
 
+    /**
+     * Tells whether the request needs no endpoint any more, because it is answered or its caller has left.
+     *
+     * @return true if nothing may be sent for it
+     */
+    boolean isOver() {
+        return released.get();
+    }
+
     /**
      * Gets a copy of the request's body that is the receiver's own; called on the I/O thread.
      *
-     * @return the bytes, never null, empty once the request is answered
+     * @return the bytes, never null
      */
-    public ByteBuf retainBody() {
-        return released.get() ? Unpooled.EMPTY_BUFFER : body.retainedDuplicate();
+    ByteBuf retainBody() {
+        return body.retainedDuplicate();
     }
 
     StreamRelay getStream() {
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -59,7 +59,9 @@
     }
 
     void start() {
-        if (!ended) {
+        if (!ended && exchange.isOver()) {
+            onFailed(CallFailure.NOT_SENT, "the caller has left");
+        } else if (!ended) {
             OpenCall call = calls.getClient().send(calls.build(exchange, endpoint, terms), this);
             open = call;
             exchange.setSource(call);
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -253,6 +254,33 @@
         assertThat(answer.body(), is(event(4) + event(5)));
     }
 
+    @Test
+    void neverSendsARequestWhoseCallerLeftMeanwhile() throws Exception {
+        ScriptedEndpoint slow = new ScriptedEndpoint().then((r, s) -> {});
+        try (RelayFixture fixture = new RelayFixture(slow)) {
+            CountDownLatch held = new CountDownLatch(1);
+            fixture.process.getLoop().execute(() -> awaitQuietly(held));
+            try (Socket socket = fixture.connect()) {
+                write(socket, RelayFixture.request("POST", "/post/", "r1", "", "0123456789"));
+                Thread.sleep(200);
+            }
+            Thread.sleep(200);
+            // The decisions learn of the request only now, after its caller has left.
+            held.countDown();
+            Thread.sleep(300);
+            assertThat(slow.requests, hasSize(0));
+        }
+        slow.close();
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void answersOnlyOnceABodyIsWholeAndDropsAConnectionAnsweredTooEarly() throws Exception {
         try (Socket socket = relay.connect()) {
