--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
@@ -14,7 +14,8 @@
  * <p>Answers the load of many small requests on few endpoints whose calls cost far more than their pieces. The
  * earliest due goes first, with a lead for each rank, so that a less urgent piece waits longer but not for ever.
  * Pieces that miss their due time whatever is done go after all that can still make it. A piece goes to another
- * availability zone than the one that wants its result only after a wait that grows with the bytes that cross.
+ * availability zone than the one that wants its result only after a wait that grows with the bytes that cross,
+ * unless enough wait to fill a call: a call that is not full costs more than the crossing.
  *
  * <p>Confined to the decision loop.
  */
@@ -23,10 +24,10 @@
     private static final long RANK_LEAD_NANOS = 150_000_000L;
     /** How much later a piece counts as due that cannot make its due time; more than any objective's spread. */
     private static final long MISSED_DELAY_NANOS = 10_000_000_000L;
-    /** The longest wait before a piece goes to another availability zone; about one call of a stage. */
-    private static final long MAX_CROSSING_WAIT_NANOS = 250_000_000L;
-    /** The wait for each byte that would cross, so that 500 kB wait as long as is allowed at most. */
-    private static final long CROSSING_WAIT_NANOS_PER_KB = 500_000L;
+    /** The longest wait before a piece goes to another availability zone; about half a call of a stage. */
+    private static final long MAX_CROSSING_WAIT_NANOS = 100_000_000L;
+    /** The wait for each kilobyte that would cross, so that 500 kB wait as long as is allowed at most. */
+    private static final long CROSSING_WAIT_NANOS_PER_KB = 200_000L;
 
     private final List<PieceTask> waiting = new ArrayList<>();
 
@@ -57,10 +58,11 @@
     List<PieceTask> take(Offer offer, long now, Predicate<String> zoneServed, Collection<String> usable) {
         record Candidate(PieceTask task, long key) {}
         List<Candidate> candidates = new ArrayList<>();
+        boolean crowded = waiting.size() >= offer.batch();
         for (PieceTask task : waiting) {
             if (!task.avoid.contains(offer.endpoint()) || task.avoid.containsAll(usable)) {
                 long wait = crossingWait(task, offer.zone(), zoneServed);
-                if (now - task.queuedNanos >= wait) {
+                if (crowded || now - task.queuedNanos >= wait) {
                     candidates.add(new Candidate(task, key(task, now + offer.callNanos()) + wait));
                 }
             }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -30,10 +30,14 @@
  * <p>Confined to the decision loop.
  */
 public final class StagePools {
-    /** How often heartbeats go out and silence is looked for. */
-    public static final long HEARTBEAT_NANOS = 100_000_000L;
-    /** An owner that is silent for so long is left alone; four heartbeats and a garbage collection. */
-    private static final long SILENCE_NANOS = 450_000_000L;
+    /** How often silence is looked for. */
+    private static final long TICK_NANOS = 100_000_000L;
+    /** Ticks between two heartbeats of an instance that owns a service, whose backlog others decide by. */
+    private static final long OWNER_TICKS = 2;
+    /** Ticks between two heartbeats of any other instance. */
+    private static final long OTHER_TICKS = 10;
+    /** An owner that is silent for so long is left alone; two heartbeats and a garbage collection. */
+    private static final long SILENCE_NANOS = 550_000_000L;
     /** How long a silent owner is left alone before pieces go there again. */
     private static final long SUSPECT_NANOS = 1_500_000_000L;
     /** Owners of a service that connections are kept with, in all and in the own zone: some may go together. */
@@ -102,7 +106,7 @@
 
     /** Starts heartbeats; called once. */
     public void start() {
-        timers.schedule(timers.now() + HEARTBEAT_NANOS, this::tick);
+        timers.schedule(timers.now() + TICK_NANOS, this::tick);
     }
 
     /**
@@ -420,13 +424,13 @@
     // -----------------------------------------------------------------------
 
     private void tick() {
-        timers.schedule(timers.now() + HEARTBEAT_NANOS, this::tick);
+        timers.schedule(timers.now() + TICK_NANOS, this::tick);
         ticks++;
-        long every = 1 + peers.connected().size() / FULL_RATE_CONNECTIONS;
-        if (ticks % every == 0) {
+        long slowdown = 1 + peers.connected().size() / FULL_RATE_CONNECTIONS;
+        if (ticks % (slowdown * (ownsAny() ? OWNER_TICKS : OTHER_TICKS)) == 0) {
             sendHeartbeats();
         }
-        long bound = SILENCE_NANOS + (every - 1) * 4 * HEARTBEAT_NANOS;
+        long bound = SILENCE_NANOS + (slowdown - 1) * 2 * OWNER_TICKS * TICK_NANOS;
         Set<String> silent = new HashSet<>();
         for (Outstanding piece : outstanding.values()) {
             long heard = Math.max(piece.sentNanos, peer(piece.owner).heardNanos);
@@ -440,6 +444,18 @@
         }
     }
 
+    private boolean ownsAny() {
+        Member self = members.getSelf();
+        return services.stream()
+                .map(members::rankOwners)
+                .anyMatch(ranked -> ranked.get(0).equals(self)
+                        || ranked.stream()
+                                .filter(this::isOwnZone)
+                                .findFirst()
+                                .filter(self::equals)
+                                .isPresent());
+    }
+
     private void sendHeartbeats() {
         Map<String, StageBacklog> own = new HashMap<>();
         pools.forEach((service, pool) -> own.put(service, pool.getBacklog()));
--- a/core/src/main/java/org/fuchsiawharf/core/relay/ObjectiveAdmission.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/ObjectiveAdmission.java
@@ -14,6 +14,8 @@
 public final class ObjectiveAdmission implements RequestAdmission {
     /** The share of the objective that the expected time may fill, by rank. */
     private static final double[] FILL_BY_RANK = {1.1, 1.05, 0.95, 1.0, 0.95, 0.9};
+    /** The share of what is left until the deadline that a request may fill whose objective is missed. */
+    private static final double LATE_FILL = 0.85;
     /** The shortest advice to come back; a caller needs a round trip and a new connection anyway. */
     private static final long MIN_RETRY_MILLIS = 150;
     /** The longest advice; a burst lasts seconds, and what waits is worked off faster than that. */
@@ -29,7 +31,7 @@
         }
         double fill = FILL_BY_RANK[Math.min(FILL_BY_RANK.length - 1, Math.max(0, outlook.rank()))];
         boolean late = outlook.objectiveMillis() <= 0;
-        double bound = late ? outlook.deadlineMillis() / 2 : outlook.objectiveMillis() * fill;
+        double bound = late ? outlook.deadlineMillis() * LATE_FILL : outlook.objectiveMillis() * fill;
         if (outlook.doneMillis() <= bound) {
             return Verdict.ADMIT;
         }
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/FakePieceCalls.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/FakePieceCalls.java
@@ -13,16 +13,16 @@
  */
 public final class FakePieceCalls implements PieceCalls {
     /** Every call, in the order of sending. */
-    public final List<Sent> sent = new ArrayList<>();
+    final List<Sent> sent = new ArrayList<>();
     /** Every handle that was given up. */
-    public final List<String> freed = new ArrayList<>();
+    final List<String> freed = new ArrayList<>();
 
     /** One batch as it was sent. */
     public static final class Sent {
-        public final Endpoint endpoint;
-        public final List<PieceOrder> orders;
-        public final Listener listener;
-        public boolean cancelled;
+        final Endpoint endpoint;
+        final List<PieceOrder> orders;
+        private final Listener listener;
+        private boolean ended;
 
         private Sent(Endpoint endpoint, List<PieceOrder> orders, Listener listener) {
             this.endpoint = endpoint;
@@ -30,8 +30,19 @@
             this.listener = listener;
         }
 
+        /** Gets the pieces. */
+        public List<PieceOrder> getOrders() {
+            return orders;
+        }
+
+        /** Tells whether the call was answered or cancelled. */
+        public boolean isEnded() {
+            return ended;
+        }
+
         /** Answers that every piece is made; a handle names its maker and its piece. */
         public void make() {
+            ended = true;
             listener.onAnswered(orders.stream()
                     .map(o -> new Answer(AnswerKind.MADE, handle(o.id())))
                     .toList());
@@ -39,10 +50,12 @@
 
         /** Answers the same about every piece. */
         public void answer(AnswerKind kind) {
+            ended = true;
             listener.onAnswered(orders.stream().map(o -> new Answer(kind, "")).toList());
         }
 
         public void fail(CallFailure failure) {
+            ended = true;
             listener.onFailed(failure, "test");
         }
 
@@ -55,7 +68,7 @@
     public Call send(Endpoint endpoint, List<PieceOrder> orders, Listener listener) {
         Sent call = new Sent(endpoint, orders, listener);
         sent.add(call);
-        return () -> call.cancelled = true;
+        return () -> call.ended = true;
     }
 
     @Override
@@ -64,6 +77,17 @@
         onFreed.run();
     }
 
+    /** Gets every call, in the order of sending. */
+    public List<Sent> getSent() {
+        return sent;
+    }
+
+    /** Gets every handle that was given up. */
+    public List<String> getFreed() {
+        return freed;
+    }
+
+    /** Gets the latest call. */
     public Sent last() {
         return sent.get(sent.size() - 1);
     }
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/PoolWorld.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/PoolWorld.java
@@ -19,27 +19,27 @@
  *
  * <p>Confined to the test's thread.
  */
-public final class PoolWorld {
-    public static final String SERVICE = "encode";
-    public static final long MILLI = 1_000_000L;
+final class PoolWorld {
+    static final String SERVICE = "encode";
+    static final long MILLI = 1_000_000L;
 
-    public final TimerService timers = new TimerService(0);
-    public final FakePieceCalls calls = new FakePieceCalls();
-    public final EndpointTable table = new EndpointTable("a", NoConcurrencyLimit::new);
-    public final SharedRetryBudget budget = new SharedRetryBudget(0.2, 1_000, 10_000 * MILLI, () -> 1, timers::now);
-    public final PoolContext context =
+    final TimerService timers = new TimerService(0);
+    final FakePieceCalls calls = new FakePieceCalls();
+    final EndpointTable table = new EndpointTable("a", NoConcurrencyLimit::new);
+    final SharedRetryBudget budget = new SharedRetryBudget(0.2, 1_000, 10_000 * MILLI, () -> 1, timers::now);
+    final PoolContext context =
             new PoolContext(table, new OutlierEjection(), calls, timers, budget, DecisionLog.NONE, Meters.NONE);
-    public final FleetStagePool pool = new FleetStagePool(SERVICE, context);
-    public final List<PieceResult> results = new ArrayList<>();
+    final FleetStagePool pool = new FleetStagePool(SERVICE, context);
+    final List<PieceResult> results = new ArrayList<>();
 
     /** Creates a world whose endpoints, one for each zone given, make up to a batch of pieces a call. */
-    public PoolWorld(int batch, double spaceMb, String... zones) {
+    PoolWorld(int batch, double spaceMb, String... zones) {
         list(zones);
         pool.setSpec(new PieceService(1, 2, batch, 200, 20, spaceMb, 4_000));
     }
 
     /** Lists one endpoint for each zone given. */
-    public void list(String... zones) {
+    void list(String... zones) {
         List<EndpointStatus> endpoints = new ArrayList<>();
         for (int i = 0; i < zones.length; i++) {
             endpoints.add(new EndpointStatus(new Endpoint("e" + i, SERVICE, zones[i], "10.0.0." + i, 80), false));
@@ -48,16 +48,16 @@
         pool.dispatch();
     }
 
-    public static PieceOrder order(String request, int piece, PieceTerms terms) {
+    static PieceOrder order(String request, int piece, PieceTerms terms) {
         return new PieceOrder(new PieceId(request, 0, piece), "key", List.of(), terms);
     }
 
     /** Gets terms of a piece of rank 0 without a zone, due and dead in so many milliseconds. */
-    public PieceTerms terms(long dueMillis, long deadlineMillis) {
+    PieceTerms terms(long dueMillis, long deadlineMillis) {
         return new PieceTerms(0, "", 1_000, 0, timers.now() + dueMillis * MILLI, timers.now() + deadlineMillis * MILLI);
     }
 
-    public void submit(String request, int pieces, PieceTerms terms) {
+    void submit(String request, int pieces, PieceTerms terms) {
         List<PieceOrder> orders = new ArrayList<>();
         for (int i = 0; i < pieces; i++) {
             orders.add(order(request, i, terms));
@@ -65,7 +65,7 @@
         pool.submit(orders, results::add);
     }
 
-    public void advance(long millis) {
+    void advance(long millis) {
         long end = timers.now() + millis * MILLI;
         while (timers.getNextDue() <= end) {
             timers.advance(timers.getNextDue());
@@ -73,7 +73,7 @@
         timers.advance(end);
     }
 
-    public long count(PieceResult.Status status) {
+    long count(PieceResult.Status status) {
         return results.stream().filter(r -> r.status() == status).count();
     }
 }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
@@ -78,6 +78,7 @@
         int onTime;
         int late;
         int refused;
+        int refusedAgain;
 
         double onTimeShare() {
             return offered == 0 ? 1 : onTime / (double) offered;
@@ -86,8 +87,12 @@
         @Override
         public String toString() {
             return String.format(
-                    "%.3f on time, %.3f late, %.3f refused of %d",
-                    onTimeShare(), late / (double) offered, refused / (double) offered, offered);
+                    "%.3f on time, %.3f late, %.3f refused, %.3f again, of %d",
+                    onTimeShare(),
+                    late / (double) offered,
+                    refused / (double) offered,
+                    refusedAgain / (double) offered,
+                    offered);
         }
     }
 
@@ -102,7 +107,18 @@
     private final List<RelayInstance> instances = new ArrayList<>();
     private final Map<String, StagePools> poolsByName = new HashMap<>();
     private final Map<String, Tally> tallies = new TreeMap<>();
+    private final Map<String, Burst> bursts = new HashMap<>();
     private int nextId;
+    private long calls;
+    private long pieces;
+    private long crossedBytes;
+
+    /** A time in which one kind comes more often. */
+    private record Burst(double factor, long fromNanos, long toNanos) {
+        private boolean covers(long now) {
+            return now >= fromNanos && now < toNanos;
+        }
+    }
 
     FleetLoad(List<Kind> kinds, List<Stage> stages, boolean pooled, RequestAdmission admission, long seed) {
         this.kinds = kinds;
@@ -131,8 +147,27 @@
         return tallies;
     }
 
+    /** Lets one kind come so many times as often for some seconds. */
+    FleetLoad burst(String route, double factor, long fromSecond, long toSecond) {
+        bursts.put(route, new Burst(factor, fromSecond * 1_000 * MILLI, toSecond * 1_000 * MILLI));
+        return this;
+    }
+
+    @Override
+    public String toString() {
+        return (pooled ? "pooled, " : "each for itself, ")
+                + admission.getClass().getSimpleName();
+    }
+
+    /** Gets how full calls were and how many megabytes were made away from where they were wanted. */
+    String effort() {
+        return String.format("%.1f pieces a call, %d MB crossed", pieces / (double) calls, crossedBytes / 1_000_000);
+    }
+
     private void schedule(Kind kind, double load, long end) {
-        double seconds = -Math.log(1 - random.nextDouble()) / (kind.perSecond() * load);
+        Burst burst = bursts.get(kind.route().name());
+        double factor = burst != null && burst.covers(timers.now()) ? burst.factor() : 1;
+        double seconds = -Math.log(1 - random.nextDouble()) / (kind.perSecond() * load * factor);
         long at = timers.now() + (long) (seconds * 1e9);
         if (at < end) {
             timers.schedule(at, () -> {
@@ -143,24 +178,35 @@
     }
 
     private void arrive(Kind kind) {
+        Objects.requireNonNull(tallies.get(kind.route().name())).offered++;
+        ask(kind, timers.now(), kind.pieces().apply(random), true);
+    }
+
+    /** Asks once, and a second time when a refusal advises it, as callers do. */
+    private void ask(Kind kind, long arrived, List<Integer> pieces, boolean first) {
         Tally tally = Objects.requireNonNull(tallies.get(kind.route().name()));
-        tally.offered++;
-        long arrived = timers.now();
+        long left = kind.route().timeoutMillis() - (timers.now() - arrived) / MILLI;
         RelayRequest request = new RelayRequest(
                 "r" + nextId++,
                 kind.route().host(),
                 kind.route().prefix() + "x",
                 null,
-                kind.route().timeoutMillis(),
+                left,
                 false,
                 List.of("session" + random.nextInt(160), "own" + nextId),
                 1_000,
-                kind.pieces().apply(random),
+                pieces,
                 "key");
         instances.get(random.nextInt(instances.size())).onRequest(request, new CallerExchange() {
             @Override
             public void refuse(Refusal refusal) {
-                tally.refused++;
+                if (first && refusal.retryAfterMillis() > 0) {
+                    long pause = Math.min(refusal.retryAfterMillis(), left / 3);
+                    timers.schedule(timers.now() + pause * MILLI, () -> ask(kind, arrived, pieces, false));
+                } else {
+                    tally.refused++;
+                    tally.refusedAgain += first ? 0 : 1;
+                }
             }
 
             @Override
@@ -344,6 +390,12 @@
 
         private void run(List<PieceOrder> orders, PieceCalls.Listener listener) {
             long took = (long) (spec.callMillisFor(orders.size()) * MILLI);
+            calls++;
+            pieces += orders.size();
+            for (PieceOrder order : orders) {
+                boolean wanted = order.terms().zone().equals(endpoint.zone());
+                crossedBytes += wanted ? 0 : order.terms().crossingBytes();
+            }
             timers.schedule(timers.now() + took, () -> {
                 busy = false;
                 List<PieceCalls.Answer> answers = orders.stream()
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayWorld.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayWorld.java
@@ -173,10 +173,9 @@
 
     /** Answers every open batch, and those that follow, until none is open. */
     void makePieces() {
-        for (int i = 0; i < pieces.sent.size(); i++) {
-            if (!pieces.sent.get(i).cancelled) {
-                pieces.sent.get(i).make();
-                pieces.sent.get(i).cancelled = true;
+        for (int i = 0; i < pieces.getSent().size(); i++) {
+            if (!pieces.getSent().get(i).isEnded()) {
+                pieces.getSent().get(i).make();
             }
         }
     }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestFleetLoad.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestFleetLoad.java
@@ -28,13 +28,13 @@
     private static final long SEED = 11;
 
     private static final List<FleetLoad.Stage> COACHING_STAGES = List.of(
-            new FleetLoad.Stage("encode", new PieceService(1, 2, 7, 200, 24, 1_000, 4_000), 3),
-            new FleetLoad.Stage("retrieve", new PieceService(1, 2, 17, 200, 10.1, 1_000, 4_000), 4),
-            new FleetLoad.Stage("rerank", new PieceService(1, 2, 30, 200, 5.7, 1_000, 4_000), 4));
+            new FleetLoad.Stage("encode", new PieceService(1, 2, 7, 200, 24, 15.75, 4_000), 3),
+            new FleetLoad.Stage("retrieve", new PieceService(1, 2, 17, 200, 10.1, 2.295, 4_000), 4),
+            new FleetLoad.Stage("rerank", new PieceService(1, 2, 30, 200, 5.7, 0.388, 4_000), 4));
     private static final List<FleetLoad.Stage> BEARING_STAGES = List.of(
-            new FleetLoad.Stage("encode", new PieceService(1, 2, 6, 200, 28, 1_000, 4_000), 3),
-            new FleetLoad.Stage("retrieve", new PieceService(1, 2, 9, 200, 18.9, 1_000, 4_000), 4),
-            new FleetLoad.Stage("rerank", new PieceService(1, 2, 24, 200, 7.1, 1_000, 4_000), 4));
+            new FleetLoad.Stage("encode", new PieceService(1, 2, 6, 200, 28, 14.25, 4_000), 3),
+            new FleetLoad.Stage("retrieve", new PieceService(1, 2, 9, 200, 18.9, 1.26, 4_000), 4),
+            new FleetLoad.Stage("rerank", new PieceService(1, 2, 24, 200, 7.1, 0.308, 4_000), 4));
 
     private static Route route(String name, int rank, long objective, long timeout, List<PieceStage> stages) {
         return new Route(
@@ -106,14 +106,12 @@
             boolean pooled,
             RequestAdmission admission,
             double load) {
-        Map<String, FleetLoad.Tally> tallies =
-                new FleetLoad(kinds, stages, pooled, admission, SEED).play(INSTANCES, load, SECONDS);
-        System.out.printf(
-                "load %.1f, %s, %s: %s%n",
-                load,
-                pooled ? "pooled" : "each for itself",
-                admission.getClass().getSimpleName(),
-                tallies);
+        return play(new FleetLoad(kinds, stages, pooled, admission, SEED), load);
+    }
+
+    private static Map<String, FleetLoad.Tally> play(FleetLoad fleet, double load) {
+        Map<String, FleetLoad.Tally> tallies = fleet.play(INSTANCES, load, SECONDS);
+        System.out.printf("load %.1f, %s: %s, %s%n", load, fleet, tallies, fleet.effort());
         return tallies;
     }
 
@@ -160,6 +158,20 @@
         assertThat(share(without, "advice"), is(lessThan(0.6)));
     }
 
+    @Test
+    void servesBurstsOfOneKindAfterAnother() {
+        for (List<FleetLoad.Kind> kinds : List.of(coaching(), bearings())) {
+            List<FleetLoad.Stage> stages = kinds.get(0).perSecond() == 6.5 ? COACHING_STAGES : BEARING_STAGES;
+            FleetLoad fleet = new FleetLoad(kinds, stages, true, new ObjectiveAdmission(), SEED)
+                    .burst("dossier", 2.4, 5, 11)
+                    .burst("advice", 2.4, 16, 22)
+                    .burst("chat", 2.4, 28, 33);
+            Map<String, FleetLoad.Tally> tallies = play(fleet, 1);
+            assertThat(share(tallies, "dossier"), is(greaterThan(0.85)));
+            assertThat(share(tallies, "advice"), is(greaterThan(0.85)));
+        }
+    }
+
     @Test
     void playsTwiceTheLoad() {
         Map<String, FleetLoad.Tally> with = play(coaching(), COACHING_STAGES, true, new ObjectiveAdmission(), 2);
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestRelayInstance.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestRelayInstance.java
@@ -292,19 +292,19 @@
     @Test
     void givesALaterStageAllResultsOfTheEarlierOneAndNoKey() {
         world.request("/staged/x", 3_000, 2, 1);
-        world.pieces.sent.get(0).make();
-        PieceOrder later = world.pieces.last().orders.get(0);
+        world.pieces.getSent().get(0).make();
+        PieceOrder later = world.pieces.last().getOrders().get(0);
         assertThat(later.id().stage(), is(1));
         assertThat(later.key(), is(org.hamcrest.Matchers.nullValue()));
         assertThat(later.inputs(), hasSize(2));
         assertThat(later.inputs(), everyItem(startsWith("10.0.0.")));
-        assertThat(world.pieces.sent.get(0).orders.get(0).key(), is("piece-key"));
+        assertThat(world.pieces.getSent().get(0).getOrders().get(0).key(), is("piece-key"));
     }
 
     @Test
     void leavesOutAStageWithoutPieces() {
         world.request("/staged/x", 3_000, 0, 0);
-        assertThat(world.pieces.sent, is(empty()));
+        assertThat(world.pieces.getSent(), is(empty()));
         assertThat(world.calls.sent, hasSize(1));
     }
 
@@ -314,28 +314,28 @@
         world.makePieces();
         world.calls.last().listener.onStreamStarted();
         world.advance(200);
-        assertThat(world.pieces.freed, hasSize(3));
+        assertThat(world.pieces.getFreed(), hasSize(3));
     }
 
     @Test
     void releasesResultsOfACallerThatLeft() {
         RecordingExchange exchange = world.request("/staged/x", 3_000, 2, 1);
-        world.pieces.sent.get(0).make();
+        world.pieces.getSent().get(0).make();
         world.instance.onCallerLeft(exchange);
         world.pieces.last().make();
         world.advance(200);
-        assertThat(world.pieces.freed, hasSize(3));
+        assertThat(world.pieces.getFreed(), hasSize(3));
         assertThat(world.calls.sent, is(empty()));
     }
 
     @Test
     void makesResultsAgainThatAreGone() {
         world.request("/staged/x", 3_000, 1, 1);
-        world.pieces.sent.get(0).make();
+        world.pieces.getSent().get(0).make();
         world.pieces.last().answer(AnswerKind.INPUT_GONE);
-        assertThat(world.pieces.last().orders.get(0).id().stage(), is(0));
+        assertThat(world.pieces.last().getOrders().get(0).id().stage(), is(0));
         world.pieces.last().make();
-        assertThat(world.pieces.last().orders.get(0).id().stage(), is(1));
+        assertThat(world.pieces.last().getOrders().get(0).id().stage(), is(1));
         world.pieces.last().make();
         assertThat(world.calls.sent, hasSize(1));
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -70,6 +70,7 @@
     private Consumer<String> peerConnected = name -> {};
     private volatile boolean configured;
     private volatile boolean endpointsKnown;
+    private volatile int endpointCount;
     private volatile boolean stopping;
 
     /**
@@ -215,9 +216,19 @@
      */
     public void setEndpoints(List<EndpointStatus> endpoints) {
         instance.onEndpoints(endpoints);
+        endpointCount = endpoints.size();
         endpointsKnown = true;
     }
 
+    /**
+     * Gets the number of endpoints that are known.
+     *
+     * @return the count as last told
+     */
+    public int getEndpointCount() {
+        return endpointCount;
+    }
+
     /**
      * Takes in every live instance; on the loop.
      *
