Count an endpoint's unknown results once

Cause: when two pieces of one call found no space, the note of the first was overwritten without giving its bytes back.

Change: each note has a name of its own, and a handle that is held anew gives its former bytes back. A test fails before and passes after.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -49,6 +49,7 @@
     private static final double NOMINAL_CALL_NANOS = 100e6;
 
     private static final double NANOS_PER_MILLI = 1e6;
+    private static final double BYTES_PER_MB = 1e6;
 
     private final String service;
     private final EndpointTable table;
@@ -218,7 +219,7 @@
 
     private List<PieceTask> takeBatch(EndpointState endpoint, List<EndpointState> usable, PieceService known) {
         String name = endpoint.getEndpoint().name();
-        long room = (long) (known.resultSpaceMb() * 1e6) - space.getUsed(name, timers.now());
+        long room = (long) (known.resultSpaceMb() * BYTES_PER_MB) - space.getUsed(name, timers.now());
         PieceQueue.Offer offer =
                 new PieceQueue.Offer(name, endpoint.getEndpoint().zone(), known.batch(), room, (long)
                         (known.callMillisFor(1) * NANOS_PER_MILLI));
@@ -395,7 +396,9 @@
                             bytes,
                             "believed_used",
                             space.getUsed(name, timers.now()));
-                    noteFull();
+                    // Results that this pool does not know of fill the endpoint; they lapse or are freed by others.
+                    long capacity = (long) (known.resultSpaceMb() * BYTES_PER_MB);
+                    space.fill(name, capacity, timers.now(), timers.now() + FULL_NANOS);
                     task.attempts--;
                     requeue(task, false);
                 }
@@ -406,15 +409,6 @@
             }
         }
 
-        // Results that this pool does not know of fill the endpoint; they lapse or are freed by others.
-        private void noteFull() {
-            long unknown = (long) (known.resultSpaceMb() * 1e6) - space.getUsed(name, timers.now());
-            if (unknown > 0) {
-                space.add(name, unknown);
-                space.hold("unknown/" + name + "/" + timers.now(), name, unknown, timers.now() + FULL_NANOS);
-            }
-        }
-
         private void finishUnlessQueued(PieceTask task, PieceResult.Status status) {
             if (!stuck) {
                 finish(task, PieceResult.unmade(task.order.id(), status));
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ResultSpace.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ResultSpace.java
@@ -17,6 +17,7 @@
 
     private final Map<String, Held> heldByHandle = new LinkedHashMap<>();
     private final Map<String, Long> usedByEndpoint = new LinkedHashMap<>();
+    private long nextUnknown;
 
     /** Gets the bytes in use at an endpoint. */
     long getUsed(String endpoint, long now) {
@@ -37,7 +38,19 @@
 
     /** Turns reserved space into the space of a result. */
     void hold(String handle, String endpoint, long bytes, long expiresNanos) {
-        heldByHandle.put(handle, new Held(endpoint, bytes, expiresNanos));
+        Held before = heldByHandle.put(handle, new Held(endpoint, bytes, expiresNanos));
+        if (before != null) {
+            add(before.endpoint(), -before.bytes());
+        }
+    }
+
+    /** Counts an endpoint as full for a while, whatever this pool knows of the results there. */
+    void fill(String endpoint, long capacityBytes, long now, long untilNanos) {
+        long rest = capacityBytes - getUsed(endpoint, now);
+        if (rest > 0) {
+            add(endpoint, rest);
+            hold("unknown/" + endpoint + "/" + nextUnknown++, endpoint, rest, untilNanos);
+        }
     }
 
     /** Gets the name of a result's maker, null if the pool does not know it. */
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
@@ -88,6 +88,18 @@
         assertThat(world.results, is(empty()));
     }
 
+    @Test
+    void believesAnEndpointFullOnlyForAWhileHoweverManyPiecesFoundNoSpace() {
+        PoolWorld world = new PoolWorld(4, 3, "a");
+        PieceTerms large = new PieceTerms(0, "", 1_000_000, 0, LONG * PoolWorld.MILLI, LONG * PoolWorld.MILLI);
+        world.submit("r", 3, large);
+        world.calls.last().answer(AnswerKind.NO_SPACE);
+        world.advance(400);
+        assertThat(world.calls.last().orders, hasSize(3));
+        world.calls.last().make();
+        assertThat(world.count(PieceResult.Status.DONE), is(3L));
+    }
+
     @Test
     void sendsPiecesOfABrokenCallToAnotherEndpoint() {
         PoolWorld world = new PoolWorld(4, 100, "a", "a");
