Learn configuration and endpoints from other instances while the store is away

Cause: an instance cut off from the store kept its last state, and one that started meanwhile had none.

--- a/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
@@ -76,17 +76,20 @@
     /**
      * Passes on what the store holds, to an instance that cannot read it.
      *
-     * @param list the name of the list
      * @param revision the store's revision as of which it holds
      * @param entries the values by key; their arrays are not to be changed
      */
-    record PassEntries(String list, long revision, Map<String, byte[]> entries) implements PeerMessage {
+    record PassEntries(long revision, Map<String, byte[]> entries) implements PeerMessage {
         /** Copies the map. */
         public PassEntries {
             entries = Map.copyOf(entries);
         }
     }
 
-    /** Asks for every list that the receiver holds. */
-    record AskState() implements PeerMessage {}
+    /**
+     * Asks for what the receiver knows of the store, if it is newer.
+     *
+     * @param revision the store's revision that the sender knows, -1 if it knows none
+     */
+    record AskState(long revision) implements PeerMessage {}
 }
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -53,13 +53,13 @@
             frame.setHeartbeat(encodeHeartbeat(heartbeat));
         } else if (message instanceof PeerMessage.PassEntries pass) {
             PeerProto.PassEntries.Builder builder =
-                    PeerProto.PassEntries.newBuilder().setList(pass.list()).setRevision(pass.revision());
+                    PeerProto.PassEntries.newBuilder().setRevision(pass.revision());
             pass.entries()
                     .forEach((key, value) -> builder.addEntries(
                             PeerProto.Entry.newBuilder().setKey(key).setValue(ByteString.copyFrom(value))));
             frame.setEntries(builder);
-        } else if (message instanceof PeerMessage.AskState) {
-            frame.setAskState(PeerProto.AskState.getDefaultInstance());
+        } else if (message instanceof PeerMessage.AskState ask) {
+            frame.setAskState(PeerProto.AskState.newBuilder().setRevision(ask.revision()));
         }
         return frame.build();
     }
@@ -88,7 +88,7 @@
                         frame.getRelease().getService(), frame.getRelease().getHandlesList());
             case HEARTBEAT -> decodeHeartbeat(frame.getHeartbeat());
             case ENTRIES -> decodeEntries(frame.getEntries());
-            case ASK_STATE -> new PeerMessage.AskState();
+            case ASK_STATE -> new PeerMessage.AskState(frame.getAskState().getRevision());
             case HELLO, KIND_NOT_SET -> null;
         };
     }
@@ -184,6 +184,6 @@
         Map<String, byte[]> entries = new HashMap<>();
         pass.getEntriesList()
                 .forEach(entry -> entries.put(entry.getKey(), entry.getValue().toByteArray()));
-        return new PeerMessage.PassEntries(pass.getList(), pass.getRevision(), entries);
+        return new PeerMessage.PassEntries(pass.getRevision(), entries);
     }
 }
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
@@ -48,6 +48,8 @@
     private static final int LENGTH_BYTES = 4;
     /** How long dialling may take; some round trips, and less than the resending of a lost packet. */
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
+    /** How long a connection for one message stays open for the answer. */
+    private static final long ONCE_MILLIS = 1_000;
     /** The pause before an instance is dialled again. */
     private static final long REDIAL_MILLIS = 500;
 
@@ -162,18 +164,53 @@
         return null;
     }
 
-    private void dial(String name) {
-        Member member = wanted.get(name);
-        if (member == null || dialled.containsKey(name) || !dialling.add(name)) {
-            return;
-        }
-        Bootstrap bootstrap = new Bootstrap()
+    /**
+     * Sends one message to an address at which some instance may be found; answers come as from the address.
+     *
+     * @param address the address, not null
+     * @param message the message, not null
+     */
+    public void sendOnce(InetSocketAddress address, PeerMessage message) {
+        String name = address.getHostString() + ":" + address.getPort();
+        ChannelFuture future = dialler(name).connect(address);
+        future.addListener(done -> {
+            if (future.isSuccess()) {
+                Channel channel = future.channel();
+                channel.writeAndFlush(hello());
+                channel.writeAndFlush(codec.encode(message));
+                channel.eventLoop().schedule(() -> channel.close(), ONCE_MILLIS, TimeUnit.MILLISECONDS);
+            } else {
+                log.write(
+                        "peer.not_found",
+                        "address",
+                        name,
+                        "detail",
+                        future.cause().getMessage());
+            }
+        });
+    }
+
+    private Bootstrap dialler(String name) {
+        return new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(pipeline(name));
-        ChannelFuture future = bootstrap.connect(new InetSocketAddress(member.host(), member.port()));
+    }
+
+    private PeerProto.Frame hello() {
+        return PeerProto.Frame.newBuilder()
+                .setHello(PeerProto.Hello.newBuilder().setName(self.name()).setIncarnation(self.incarnation()))
+                .build();
+    }
+
+    private void dial(String name) {
+        Member member = wanted.get(name);
+        if (member == null || dialled.containsKey(name) || !dialling.add(name)) {
+            return;
+        }
+        ChannelFuture future = dialler(name).connect(new InetSocketAddress(member.host(), member.port()));
         future.addListener(done -> onDialled(name, future));
     }
 
@@ -181,9 +218,7 @@
         dialling.remove(name);
         if (future.isSuccess()) {
             Channel channel = future.channel();
-            channel.writeAndFlush(PeerProto.Frame.newBuilder()
-                    .setHello(PeerProto.Hello.newBuilder().setName(self.name()).setIncarnation(self.incarnation()))
-                    .build());
+            channel.writeAndFlush(hello());
             dialled.put(name, channel);
             tell(hears -> hears.onConnected(name));
         } else {
--- a/peer/src/test/java/org/fuchsiawharf/peer/TestPeerNetwork.java
+++ b/peer/src/test/java/org/fuchsiawharf/peer/TestPeerNetwork.java
@@ -127,7 +127,7 @@
                 new PeerMessage.CancelPieces("s", "r"),
                 new PeerMessage.ReleaseResults("s", List.of("h1", "h2")),
                 new PeerMessage.Heartbeat(Map.of("s", new StageBacklog(List.of(1, 2, 3, 4, 5, 6), 3, 1)), true),
-                new PeerMessage.AskState());
+                new PeerMessage.AskState(0));
         for (PeerMessage message : messages) {
             assertThat(pair[0].network.send("b", message), is(true));
             assertThat(pair[1].hear(), equalTo(message));
@@ -160,7 +160,7 @@
         Node a = new Node("a", freePort());
         a.network.connect(List.of(new Member("b", 1, "a", a.self.host(), port, 1)));
         assertThat(a.event(), is("down b"));
-        assertThat(a.network.send("b", new PeerMessage.AskState()), is(false));
+        assertThat(a.network.send("b", new PeerMessage.AskState(0)), is(false));
         new Node("b", port);
         String event = a.event();
         while (event.equals("down b")) {
@@ -211,7 +211,7 @@
                 out.writeInt(frame.length);
                 out.write(frame);
             }
-            assertThat(a.hear(), is(new PeerMessage.AskState()));
+            assertThat(a.hear(), is(new PeerMessage.AskState(0)));
         }
         awaitCount("peer_frames_dropped/unknown kind");
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -5,7 +5,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.fuchsiawharf.core.health.OutlierEjection;
@@ -67,7 +66,6 @@
     private final Edge edge;
     private final StatusServer status = new StatusServer(io);
     private BiConsumer<String, PeerMessage> stateMessages = (from, message) -> {};
-    private Consumer<String> peerConnected = name -> {};
     private volatile boolean configured;
     private volatile boolean endpointsKnown;
     private volatile int endpointCount;
@@ -150,7 +148,6 @@
             @Override
             public void onConnected(String member) {
                 log.write("peer.connected", "peer", member);
-                peerConnected.accept(member);
             }
 
             @Override
@@ -179,11 +176,9 @@
      * Sets who hears messages about what the store holds; called before the start.
      *
      * @param messages takes the sender's name and the message, on the loop, not null
-     * @param connected takes the name of an instance that was connected to, on the loop, not null
      */
-    public void onState(BiConsumer<String, PeerMessage> messages, Consumer<String> connected) {
+    public void onState(BiConsumer<String, PeerMessage> messages) {
         stateMessages = messages;
-        peerConnected = connected;
     }
 
     // -----------------------------------------------------------------------
