--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -44,7 +44,7 @@
     /** How often waiting pieces are looked at again while endpoints are idle. */
     private static final long RECHECK_NANOS = 25_000_000L;
     /** How long releases are gathered for one call to their maker. */
-    private static final long RELEASE_NANOS = 60_000_000L;
+    private static final long RELEASE_NANOS = 25_000_000L;
     /** Call times are compared between endpoints as if each call were expected to take this long. */
     private static final double NOMINAL_CALL_NANOS = 100e6;
 
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -41,6 +41,8 @@
     private static final long ANSWER_MARGIN_MILLIS = 20;
     /** The priorities of routes that are told apart within one priority of workspaces. */
     private static final int ROUTE_RANKS = 3;
+    /** How much earlier than needed a stage begins that nothing follows; about one call of a stage. */
+    private static final double BEGIN_MARGIN_MILLIS = 300;
     /** Advice to come back when no endpoint can take the request now. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
 
@@ -147,21 +149,12 @@
     }
 
     private void startStages(EndpointState endpoint, StageForecast.Ends ends) {
-        double last = ends.lastMillis();
-        List<Long> due = new ArrayList<>();
-        List<Long> deadlines = new ArrayList<>();
-        for (double end : ends.endMillis()) {
-            // A stage that others follow must leave them their time.
-            long after = (long) ((last - end + statistics.getAnswerMillis()) * NANOS_PER_MILLI);
-            due.add(objectiveNanos - after);
-            deadlines.add(deadlineNanos - after);
-        }
-        StageRun.Plan plan = new StageRun.Plan(rank, endpoint.getEndpoint().zone(), due, deadlines);
         StageRun run = new StageRun(
                 order.request(),
                 order.route(),
                 context.pools(),
-                plan,
+                timers,
+                plan(endpoint.getEndpoint().zone(), ends),
                 this::findZone,
                 this::onStagesReady,
                 this::onStagesFailed);
@@ -169,6 +162,23 @@
         run.start();
     }
 
+    private StageRun.Plan plan(String zone, StageForecast.Ends ends) {
+        double last = ends.lastMillis();
+        List<Long> due = new ArrayList<>();
+        List<Long> deadlines = new ArrayList<>();
+        List<Long> begins = new ArrayList<>();
+        for (int i = 0; i < ends.endMillis().size(); i++) {
+            double spare = last - ends.endMillis().get(i);
+            // A stage that others follow must leave them their time.
+            long after = (long) ((spare + statistics.getAnswerMillis()) * NANOS_PER_MILLI);
+            due.add(objectiveNanos - after);
+            deadlines.add(deadlineNanos - after);
+            double pause = order.route().isLast(i) ? Math.max(0, spare - BEGIN_MARGIN_MILLIS) : 0;
+            begins.add(timers.now() + (long) (pause * NANOS_PER_MILLI));
+        }
+        return new StageRun.Plan(rank, zone, due, deadlines, begins);
+    }
+
     private void onStagesReady(List<String> handles) {
         if (!ended) {
             inputs = handles;
--- a/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
@@ -17,6 +17,7 @@
 import org.fuchsiawharf.core.pieces.StagePools;
 import org.fuchsiawharf.core.route.PieceStage;
 import org.fuchsiawharf.core.route.Route;
+import org.fuchsiawharf.core.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,8 +25,9 @@
  *
  * <p>A piece is ordered once all results that it needs are there, and gets exactly the results of this request, in
  * the order of their stages and pieces. Results are released when nothing needs them any more, whatever way the
- * request ends; a result that vanished or was released is made again if it is needed again. Confined to the
- * decision loop.
+ * request ends; a result that vanished or was released is made again if it is needed again. A stage that nothing
+ * follows begins only when the others leave it just its time, since its results take space until all are done.
+ * Confined to the decision loop.
  */
 final class StageRun {
     /** How often vanished results are made again, over the whole request; a chain of stages may need each once. */
@@ -34,6 +36,7 @@
     private final RelayRequest request;
     private final Route route;
     private final StagePools pools;
+    private final TimerService timers;
     private final Plan plan;
     private final Function<String, String> findZone;
     private final Consumer<List<String>> onReady;
@@ -50,9 +53,11 @@
      * @param zone the availability zone of the endpoint that will need the results
      * @param dueNanos when each stage should be done for the request to meet its objective
      * @param deadlineNanos when the results of each stage have no use any more
+     * @param beginNanos when each stage should begin at the earliest
      */
-    record Plan(int rank, String zone, List<Long> dueNanos, List<Long> deadlineNanos) {
+    record Plan(int rank, String zone, List<Long> dueNanos, List<Long> deadlineNanos, List<Long> beginNanos) {
         Plan {
+            beginNanos = List.copyOf(beginNanos);
             dueNanos = List.copyOf(dueNanos);
             deadlineNanos = List.copyOf(deadlineNanos);
         }
@@ -63,6 +68,7 @@
         private final @Nullable String[] handles;
         private final boolean[] ordered;
         private boolean released;
+        private boolean scheduled;
 
         private StageState(int pieces) {
             handles = new String[pieces];
@@ -95,6 +101,7 @@
             RelayRequest request,
             Route route,
             StagePools pools,
+            TimerService timers,
             Plan plan,
             Function<String, String> findZone,
             Consumer<List<String>> onReady,
@@ -102,6 +109,7 @@
         this.request = request;
         this.route = route;
         this.pools = pools;
+        this.timers = timers;
         this.plan = plan;
         this.findZone = findZone;
         this.onReady = onReady;
@@ -152,7 +160,7 @@
         for (int i = 0; i < stages.length && !ended; i++) {
             List<Integer> missing = stages[i].missing();
             if (!missing.isEmpty() && areInputsDone(i)) {
-                submit(i, missing);
+                begin(i, missing);
             }
         }
         if (!ready && !ended && Arrays.stream(stages).allMatch(StageState::isDone)) {
@@ -163,6 +171,16 @@
         }
     }
 
+    private void begin(int stage, List<Integer> missing) {
+        long at = plan.beginNanos().get(stage);
+        if (at <= timers.now()) {
+            submit(stage, missing);
+        } else if (!stages[stage].scheduled) {
+            stages[stage].scheduled = true;
+            timers.schedule(at, this::advance);
+        }
+    }
+
     private void submit(int stage, List<Integer> pieces) {
         PieceStage spec = route.stages().get(stage);
         List<String> inputs = new ArrayList<>();
--- a/core/src/main/java/org/fuchsiawharf/core/route/Route.java
+++ b/core/src/main/java/org/fuchsiawharf/core/route/Route.java
@@ -88,6 +88,16 @@
         return services.get(0).service();
     }
 
+    /**
+     * Tells whether no other stage follows a stage.
+     *
+     * @param stage the stage's number
+     * @return true if none does
+     */
+    public boolean isLast(int stage) {
+        return stages.stream().noneMatch(s -> s.after().contains(stage));
+    }
+
     /**
      * Gets the stages that no other stage follows, among those with pieces.
      *
@@ -96,7 +106,7 @@
      */
     public List<Integer> lastStages(List<Integer> pieces) {
         return java.util.stream.IntStream.range(0, stages.size())
-                .filter(i -> stages.stream().noneMatch(s -> s.after().contains(i)))
+                .filter(this::isLast)
                 .filter(i -> i < pieces.size() && pieces.get(i) > 0)
                 .boxed()
                 .toList();
