--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -266,6 +266,14 @@
      * @param message the message, not null
      */
     public void onMessage(String from, PeerMessage message) {
+        if (members.getMember(from) == null) {
+            context.meters().count("peer_frames_dropped", "stranger");
+            if (message instanceof PeerMessage.SubmitPieces submit) {
+                // One that is not known yet, or no more, hears at once that it must ask elsewhere.
+                accept(from, submit);
+            }
+            return;
+        }
         Peer peer = peer(from);
         peer.heardNanos = timers.now();
         if (message instanceof PeerMessage.SubmitPieces submit) {
@@ -294,7 +302,7 @@
     private void accept(String from, PeerMessage.SubmitPieces submit) {
         PieceListener answer =
                 result -> peers.send(from, new PeerMessage.PiecesEnded(submit.service(), List.of(result)));
-        if (leaving) {
+        if (leaving || members.getMember(from) == null) {
             submit.orders()
                     .forEach(order -> answer.onResult(PieceResult.unmade(order.id(), PieceResult.Status.WITHDRAWN)));
         } else {
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -189,6 +189,11 @@
         }
     }
 
+    /** Ends every request without an answer, because the instance stops now. */
+    public void endAll() {
+        List.copyOf(tasks.values()).forEach(RelayTask::onStopping);
+    }
+
     private void refuse(RelayRequest request, CallerExchange exchange, Refusal refusal) {
         RoutingConfig present = config;
         context.meters().count("requests", refusal.code().getWireName());
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -201,6 +201,11 @@
         }
     }
 
+    /** Ends the request because the instance stops. */
+    void onStopping() {
+        giveUp(ErrorCode.SHUTTING_DOWN, "this instance stops", NO_ENDPOINT_RETRY_MILLIS);
+    }
+
     /** Ends the request because its caller has gone. */
     void abandon() {
         end("caller_left", 0);
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
@@ -207,7 +207,7 @@
         long quietMillis = (nowNanos - quietSince) / 1_000_000;
         if (head != null && quietMillis > limits.headerTimeoutMillis()) {
             refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time");
-        } else if (closeIdle || quietMillis > limits.idleTimeoutMillis()) {
+        } else if (head == null && (closeIdle || quietMillis > limits.idleTimeoutMillis())) {
             closing = true;
             present.close();
         }
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -138,10 +138,8 @@
                 boolean state = message instanceof PeerMessage.AskState || message instanceof PeerMessage.PassEntries;
                 if (state) {
                     stateMessages.accept(from, message);
-                } else if (members.getMember(from) != null) {
-                    pools.onMessage(from, message);
                 } else {
-                    meters.count("peer_frames_dropped", "stranger");
+                    pools.onMessage(from, message);
                 }
             }
 
@@ -294,9 +292,17 @@
             sleep();
             active = getActive();
         }
+        loop.execute(instance::endAll);
+        awaitSent();
         log.write("instance.stopped", "unanswered", active, "took_ms", (System.nanoTime() - begin) / 1_000_000);
     }
 
+    /** Waits until what the loop has decided so far is on its way. */
+    public void awaitSent() {
+        getActive();
+        sleep();
+    }
+
     private int getActive() {
         CompletableFuture<Integer> count = new CompletableFuture<>();
         loop.execute(() -> count.complete(instance.getActive()));
