Give the stages of a request an owner in place of three callbacks

Change: an interface that the request implements. No change of behaviour. Measured: TestFleetLoad unchanged; Spotless, Checkstyle and Error Prone clean.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -22,7 +22,7 @@
  * <p>It ends once, in {@link #end}. Until a send may have taken effect, it ends as not run; a request that may not be
  * repeated is sent again only if no earlier send can have taken effect. Confined to the decision loop.
  */
-final class RelayTask implements EndpointSend.Owner {
+final class RelayTask implements EndpointSend.Owner, StageRun.Owner {
     /** How often a request is sent at most, refused sends included. */
     private static final int MAX_SENDS = 5;
     /** How long after a refusal by an endpoint the request is sent to another one; one round trip. */
@@ -146,9 +146,7 @@
                 context.pools(),
                 timers,
                 plan(endpoint.getEndpoint().zone(), ends),
-                this::findZone,
-                this::onStagesReady,
-                this::onStagesFailed);
+                this);
         stages = run;
         run.start();
     }
@@ -170,7 +168,8 @@
         return new StageRun.Plan(rank, zone, due, deadlines, begins);
     }
 
-    private void onStagesReady(List<String> handles) {
+    @Override
+    public void onStagesReady(List<String> handles) {
         if (!ended) {
             inputs = handles;
             stagesNanos = timers.now() - arrivedNanos;
@@ -180,7 +179,8 @@
         }
     }
 
-    private void onStagesFailed(PieceResult.Status status) {
+    @Override
+    public void onStagesFailed(PieceResult.Status status) {
         if (ended) {
             return;
         }
@@ -288,7 +288,8 @@
         return maker != null && maker.isUsable();
     }
 
-    private String findZone(String handle) {
+    @Override
+    public String findZone(String handle) {
         EndpointState maker = context.table().findByHandle(handle);
         return maker == null ? "" : maker.getEndpoint().zone();
     }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
@@ -5,8 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 
@@ -38,9 +36,7 @@
     private final StagePools pools;
     private final TimerService timers;
     private final Plan plan;
-    private final Function<String, String> findZone;
-    private final Consumer<List<String>> onReady;
-    private final Consumer<PieceResult.Status> onFailed;
+    private final Owner owner;
     private final StageState[] stages;
     private int remakes;
     private boolean ready;
@@ -63,6 +59,18 @@
         }
     }
 
+    /** The request whose stages these are. */
+    interface Owner {
+        /** Takes in the handles of the last stages' results, in the order of their stages and pieces. */
+        void onStagesReady(List<String> handles);
+
+        /** Learns that a stage failed; the run has ended. */
+        void onStagesFailed(PieceResult.Status status);
+
+        /** Finds the availability zone in which a result lies, empty if it is not known. */
+        String findZone(String handle);
+    }
+
     /** The pieces of one stage: a piece is missing, ordered, or done and then has a handle. */
     private static final class StageState {
         private final @Nullable String[] handles;
@@ -97,23 +105,13 @@
         }
     }
 
-    StageRun(
-            RelayRequest request,
-            Route route,
-            StagePools pools,
-            TimerService timers,
-            Plan plan,
-            Function<String, String> findZone,
-            Consumer<List<String>> onReady,
-            Consumer<PieceResult.Status> onFailed) {
+    StageRun(RelayRequest request, Route route, StagePools pools, TimerService timers, Plan plan, Owner owner) {
         this.request = request;
         this.route = route;
         this.pools = pools;
         this.timers = timers;
         this.plan = plan;
-        this.findZone = findZone;
-        this.onReady = onReady;
-        this.onFailed = onFailed;
+        this.owner = owner;
         this.stages = new StageState[route.stages().size()];
         for (int i = 0; i < stages.length; i++) {
             stages[i] = new StageState(
@@ -165,7 +163,7 @@
         }
         if (!ready && !ended && Arrays.stream(stages).allMatch(StageState::isDone)) {
             ready = true;
-            onReady.accept(route.lastStages(request.pieces()).stream()
+            owner.onStagesReady(route.lastStages(request.pieces()).stream()
                     .flatMap(stage -> stages[stage].held().stream())
                     .toList());
         }
@@ -209,7 +207,7 @@
     // Where most of the inputs lie.
     private String zoneOf(List<String> inputs) {
         Map<String, Integer> counts = new HashMap<>();
-        inputs.forEach(handle -> counts.merge(findZone.apply(handle), 1, Integer::sum));
+        inputs.forEach(handle -> counts.merge(owner.findZone(handle), 1, Integer::sum));
         return counts.entrySet().stream()
                 .max(Map.Entry.comparingByValue())
                 .map(Map.Entry::getKey)
@@ -234,7 +232,7 @@
         } else if (result.status() != PieceResult.Status.INPUT_GONE
                 || !remake(route.stages().get(stage).after(), handle -> true)) {
             end();
-            onFailed.accept(result.status());
+            owner.onStagesFailed(result.status());
         }
     }
 
