--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -1,6 +1,5 @@
 package org.fuchsiawharf.core.relay;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -70,15 +69,6 @@
         return true;
     }
 
-    /**
-     * Gets the configuration in force.
-     *
-     * @return the configuration, null before the first one
-     */
-    public @Nullable RoutingConfig getConfig() {
-        return config;
-    }
-
     /**
      * Takes in every endpoint that is known.
      *
@@ -220,14 +210,4 @@
         ServiceSpec spec = present == null ? null : present.getServices().get(service);
         return spec == null ? null : spec.pieces();
     }
-
-    /**
-     * Gets the services of the configuration in force.
-     *
-     * @return the services, empty before the first configuration, never null
-     */
-    public Collection<ServiceSpec> getServices() {
-        RoutingConfig present = config;
-        return present == null ? List.of() : present.getServices().values();
-    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayRequest.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayRequest.java
@@ -14,9 +14,7 @@
  * @param path the path without the query
  * @param key the workspace key, null if it has none
  * @param deadlineMillis how long the caller waits from its arrival, in milliseconds; 0 if it does not say
- * @param resumed whether the caller resumes a stream
  * @param promptParts the ids of the parts of the prompt in order, the last one the request's own
- * @param promptTokens the number of tokens of the prompt
  * @param pieces the number of pieces of each stage
  * @param pieceKey the key of the pieces, null if it has none
  */
@@ -26,9 +24,7 @@
         String path,
         @Nullable String key,
         long deadlineMillis,
-        boolean resumed,
         List<String> promptParts,
-        long promptTokens,
         List<Integer> pieces,
         @Nullable String pieceKey) {
     /** Copies the lists. */
--- a/core/src/main/java/org/fuchsiawharf/core/route/ServiceSpec.java
+++ b/core/src/main/java/org/fuchsiawharf/core/route/ServiceSpec.java
@@ -8,7 +8,6 @@
  * <p>Immutable and thread-safe.
  *
  * @param name the service's name
- * @param engineSlots the number of requests that each model endpoint runs at once, 0 if it is no model service
  * @param pieces how its endpoints work on pieces, null if it is no stage service
  */
-public record ServiceSpec(String name, int engineSlots, @Nullable PieceService pieces) {}
+public record ServiceSpec(String name, @Nullable PieceService pieces) {}
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestStagePools.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestStagePools.java
@@ -85,8 +85,7 @@
         MemberTable table = new MemberTable(self);
         table.replace(List.of(owner, zoneOwner));
         pools = new StagePools(table, peers, world.context);
-        pools.setServices(
-                List.of(new ServiceSpec(PoolWorld.SERVICE, 0, new PieceService(1, 2, 4, 200, 20, 100, 4_000))));
+        pools.setServices(List.of(new ServiceSpec(PoolWorld.SERVICE, new PieceService(1, 2, 4, 200, 20, 100, 4_000))));
         pools.start();
         assertThat(table.rankOwners(PoolWorld.SERVICE), contains(owner, zoneOwner, self));
     }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
@@ -192,9 +192,7 @@
                 kind.route().prefix() + "x",
                 null,
                 left,
-                false,
                 List.of("session" + random.nextInt(160), "own" + nextId),
-                1_000,
                 pieces,
                 "key");
         instances.get(random.nextInt(instances.size())).onRequest(request, new CallerExchange() {
@@ -281,8 +279,8 @@
                 DecisionLog.NONE,
                 Meters.NONE));
         List<ServiceSpec> services = new ArrayList<>();
-        services.add(new ServiceSpec(ENGINE, 96, null));
-        stages.forEach(stage -> services.add(new ServiceSpec(stage.name(), 0, stage.spec())));
+        services.add(new ServiceSpec(ENGINE, null));
+        stages.forEach(stage -> services.add(new ServiceSpec(stage.name(), stage.spec())));
         pools.start();
         instance.adopt(RoutingConfig.of(
                 1, kinds.stream().map(Kind::route).toList(), services, Map.of(), ClientLimits.DEFAULT));
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayWorld.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayWorld.java
@@ -118,9 +118,9 @@
                 route("verdict", RequestKind.SINGLE_STREAM, "engine", 1, List.of()),
                 route("staged", RequestKind.RESUMABLE_STREAM, "engine", 2, stages));
         List<ServiceSpec> services = List.of(
-                new ServiceSpec(plain, 0, null),
-                new ServiceSpec("engine", 96, null),
-                new ServiceSpec("encode", 0, new PieceService(1, 2, 8, 200, 20, 100, 4_000)));
+                new ServiceSpec(plain, null),
+                new ServiceSpec("engine", null),
+                new ServiceSpec("encode", new PieceService(1, 2, 8, 200, 20, 100, 4_000)));
         return RoutingConfig.of(
                 version, routes, services, Map.of(KEY, new Workspace("w1", null)), ClientLimits.DEFAULT);
     }
@@ -154,9 +154,7 @@
                 path,
                 key,
                 deadlineMillis,
-                false,
                 List.of("root", "session", "own"),
-                1_000,
                 List.of(pieceCounts),
                 "piece-key");
         instance.onRequest(request, exchange);
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
@@ -193,11 +193,6 @@
 
     // -----------------------------------------------------------------------
 
-    /** Tells whether a request has no answer yet. */
-    boolean isBusy() {
-        return exchange != null;
-    }
-
     /** Closes the connection if it has been quiet for too long between or within requests. */
     void checkQuiet(long nowNanos, ClientLimits limits, boolean closeIdle) {
         ChannelHandlerContext present = context;
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerRequestHead.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerRequestHead.java
@@ -30,9 +30,7 @@
                 path(head.uri()),
                 fields.get(names.key()),
                 Math.max(0, number(fields.get(names.deadline()), 0)),
-                fields.contains("last-event-id"),
                 parts(fields.get(names.promptParts())),
-                number(firstOf(fields.get(names.tokenCount())), 0),
                 pieces(fields.get(names.pieces())),
                 fields.get(names.pieceKey()));
     }
@@ -79,11 +77,6 @@
         return counts;
     }
 
-    private static @Nullable String firstOf(@Nullable String value) {
-        int comma = value == null ? -1 : value.indexOf(',');
-        return comma < 0 || value == null ? value : value.substring(0, comma);
-    }
-
     private static long number(@Nullable String value, long otherwise) {
         if (value == null) {
             return otherwise;
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -82,7 +82,7 @@
                         route("post", RequestKind.NON_IDEMPOTENT, 1),
                         route("chat", RequestKind.RESUMABLE_STREAM, 2),
                         route("verdict", RequestKind.SINGLE_STREAM, 1)),
-                List.of(new ServiceSpec("s", 0, null)),
+                List.of(new ServiceSpec("s", null)),
                 Map.of("k1", new Workspace("w1", 3)),
                 LIMITS);
     }
