--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -27,11 +27,15 @@
     /** Advice to come back while no configuration is known; the store answers again within about a second. */
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
 
+    /** Advice to come back to a caller of a stopping instance; another instance takes it at once. */
+    private static final long STOPPING_RETRY_MILLIS = 50;
+
     private final RelayContext context;
     private final StageForecast forecast;
     private final Map<CallerExchange, RelayTask> tasks = new IdentityHashMap<>();
     private final Map<String, RouteStatistics> statistics = new HashMap<>();
     private @Nullable RoutingConfig config;
+    private boolean refusing;
 
     /**
      * Creates an instance without a configuration.
@@ -128,6 +132,17 @@
      */
     public void onRequest(RelayRequest request, CallerExchange exchange) {
         RoutingConfig present = config;
+        if (refusing) {
+            refuse(
+                    request,
+                    exchange,
+                    new Refusal(
+                            Refusal.Kind.NOT_RUN,
+                            ErrorCode.SHUTTING_DOWN,
+                            "this instance stops",
+                            STOPPING_RETRY_MILLIS));
+            return;
+        }
         if (present == null) {
             refuse(
                     request,
@@ -179,6 +194,11 @@
         }
     }
 
+    /** Refuses every request from now on, because the instance is about to stop. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
     /** Ends every request without an answer, because the instance stops now. */
     public void endAll() {
         List.copyOf(tasks.values()).forEach(RelayTask::onStopping);
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/Edge.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/Edge.java
@@ -26,6 +26,7 @@
 import org.fuchsiawharf.core.route.ClientLimits;
 import org.fuchsiawharf.relay.FieldNames;
 import org.fuchsiawharf.relay.IoThread;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The address that callers connect to.
@@ -49,6 +50,8 @@
     private volatile ClientLimits limits = ClientLimits.DEFAULT;
     private volatile boolean draining;
     private volatile boolean closingIdle;
+    private volatile int connectionCount;
+    private volatile @Nullable Channel listener;
 
     /**
      * Creates an edge; {@link #bind} opens it.
@@ -100,6 +103,7 @@
             throw new WharfException(
                     ErrorCode.INTERNAL, "callers' address " + address + " cannot be opened", bound.cause());
         }
+        listener = bound.channel();
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -117,9 +121,25 @@
         draining = true;
     }
 
-    /** Closes connections without a request as well; may be called from any thread. */
+    /** Takes no more connections and closes those without a request; may be called from any thread. */
     public void closeIdle() {
         closingIdle = true;
+        loop.execute(() -> {
+            Channel open = listener;
+            if (open != null) {
+                open.close();
+            }
+            sweep();
+        });
+    }
+
+    /**
+     * Gets the number of open connections; may be called from any thread.
+     *
+     * @return the count as of the last change
+     */
+    public int getConnectionCount() {
+        return connectionCount;
     }
 
     private void sweep() {
@@ -133,11 +153,13 @@
 
     void opened(CallerConnection connection) {
         connections.add(connection);
+        connectionCount = connections.size();
         meters.count("caller_connections", "opened");
     }
 
     void closed(CallerConnection connection) {
         connections.remove(connection);
+        connectionCount = connections.size();
     }
 
     void arrived(EdgeExchange exchange) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -46,12 +46,12 @@
     private static final double CROSSING_NANOS = 2e6;
     /** What a cached prompt saves, in nanoseconds: the reading of some thousand tokens. */
     private static final double PROMPT_SAVING_NANOS = 150e6;
-    /** How long a stopping instance still takes requests that come on open connections, while the balancer notices. */
-    private static final long LAST_REQUESTS_MILLIS = 3_500;
+    /** How long a stopping instance still takes requests, while the balancer notices by two missed questions. */
+    private static final long LAST_REQUESTS_MILLIS = 2_800;
     /** Taken off the grace period, so that the process ends by itself. */
     private static final long GRACE_MARGIN_MILLIS = 700;
 
-    private static final long POLL_MILLIS = 100;
+    private static final long POLL_MILLIS = 50;
 
     private final InstanceSettings settings;
     private final DecisionLog log;
@@ -280,21 +280,24 @@
         loop.execute(pools::leave);
         log.write("instance.stopping", "grace_ms", settings.gracePeriodMillis());
         long last = settings.gracePeriodMillis() - GRACE_MARGIN_MILLIS;
-        boolean idleClosed = false;
+        while (elapsedMillis(begin) < Math.min(LAST_REQUESTS_MILLIS, last)) {
+            sleep();
+        }
+        // From here on no request is taken any more, so that none is read and then left without an answer.
+        loop.execute(instance::refuseNew);
+        edge.closeIdle();
         int active = getActive();
-        for (long elapsed = 0;
-                elapsed < last && (elapsed < LAST_REQUESTS_MILLIS || active > 0);
-                elapsed = (System.nanoTime() - begin) / 1_000_000) {
-            if (elapsed >= LAST_REQUESTS_MILLIS && !idleClosed) {
-                idleClosed = true;
-                edge.closeIdle();
-            }
+        while (elapsedMillis(begin) < last && (active > 0 || edge.getConnectionCount() > 0)) {
             sleep();
             active = getActive();
         }
         loop.execute(instance::endAll);
         awaitSent();
-        log.write("instance.stopped", "unanswered", active, "took_ms", (System.nanoTime() - begin) / 1_000_000);
+        log.write("instance.stopped", "unanswered", active, "took_ms", elapsedMillis(begin));
+    }
+
+    private static long elapsedMillis(long beginNanos) {
+        return (System.nanoTime() - beginNanos) / 1_000_000;
     }
 
     /** Waits until what the loop has decided so far is on its way. */
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestCallerEdge.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestCallerEdge.java
@@ -192,6 +192,33 @@
         }
     }
 
+    @Test
+    void refusesWhatComesLateInItsStopAndLeavesNoRequestWithoutAnAnswer() throws Exception {
+        ScriptedEndpoint silent = new ScriptedEndpoint().then((request, socket) -> {});
+        try (RelayFixture fixture = new RelayFixture(silent, 6_000);
+                Socket busy = fixture.connect();
+                Socket half = fixture.connect();
+                Socket idle = fixture.connect()) {
+            ScriptedEndpoint.write(busy, RelayFixture.request("POST", "/post/", "r1", "", "x"));
+            String late = RelayFixture.request("POST", "/post/", "r2", "", "0123456789");
+            Thread stopping = new Thread(fixture.process::stop);
+            stopping.start();
+            // Late enough that the rest may come after the instance takes no more, within the time for a request.
+            Thread.sleep(1_500);
+            ScriptedEndpoint.write(half, late.substring(0, late.length() - 5));
+            // The idle connection ends once the instance takes no more requests.
+            assertThat(RawRequest.read(idle.getInputStream()), is(nullValue()));
+            ScriptedEndpoint.write(half, late.substring(late.length() - 5));
+            RawRequest refused = RelayFixture.readAnswer(half);
+            assertThat(refused.status(), is(503));
+            assertThat(refused.field("connection"), is("close"));
+            assertThat(RelayFixture.readAnswer(busy).status(), is(502));
+            stopping.join();
+        }
+        assertThat(silent.requests, hasSize(1));
+        silent.close();
+    }
+
     @Test
     void answersHeadRequestsWithoutABody() throws Exception {
         ScriptedEndpoint heads = new ScriptedEndpoint()
