--- a/daemon/src/test/java/org/fuchsiawharf/daemon/instance/TestEntryInstance.java
+++ b/daemon/src/test/java/org/fuchsiawharf/daemon/instance/TestEntryInstance.java
@@ -181,7 +181,7 @@
     void saysUnknownAndRunsOnceWhenANonRepeatableCallHasNoGoodAnswer(Faults.Answer fault) {
         cluster.getFleet().getEndpoint("billing-1").getFaults().setAnswer(fault);
         String nonce = nonce();
-        Map<HttpString, String> headers = Map.of(WireHeaders.IDEMPOTENCY_KEY, nonce, WireHeaders.DEADLINE_MS, "3000");
+        Map<HttpString, String> headers = Map.of(WireHeaders.IDEMPOTENCY_KEY, nonce, WireHeaders.DEADLINE_MS, "600");
         JsonNode problem =
                 post(CHARGE, headers, "{\"nonce\":\"" + nonce + "\"}").json();
         assertThat(problem.path("outcome").asText(), is("unknown"));
