Look up one connection or entry in place of copying all; end failed stages in one way

Every choice of an owner built the sorted set of all connections for each member; reading a list of endpoints copied all entries for each; a failed stage decided its refusal apart from giveUp, and so logged a resumed stream that broke off as a refusal. A page said that start leaves out the callers' address.

Change: PeerPort.isConnected, LeasedEntries.getEntry, giveUp for failed stages, the page. What callers get is as before; only that one log outcome differs.

--- a/core/src/main/java/org/fuchsiawharf/core/member/PeerPort.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/PeerPort.java
@@ -26,6 +26,11 @@
         public Collection<String> connected() {
             return java.util.List.of();
         }
+
+        @Override
+        public boolean isConnected(String member) {
+            return false;
+        }
     };
 
     /**
@@ -57,4 +62,12 @@
      * @return their names, never null
      */
     Collection<String> connected();
+
+    /**
+     * Tells whether a connection exists with an instance, in either direction.
+     *
+     * @param member the other instance's name, not null
+     * @return true if one does
+     */
+    boolean isConnected(String member);
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerChoice.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerChoice.java
@@ -117,7 +117,7 @@
         }
         Peer peer = peersByName.get(member.name());
         boolean avoided = peer != null && (peer.leaving || peer.suspectUntil > timers.now());
-        return !avoided && peers.connected().contains(member.name());
+        return !avoided && peers.isConnected(member.name());
     }
 
     private Peer peer(String name) {
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -185,11 +185,7 @@
             return;
         }
         ErrorCode code = status == PieceResult.Status.LATE ? ErrorCode.DEADLINE_UNREACHABLE : ErrorCode.STAGE_FAILED;
-        if (effectiveSends == 0) {
-            refuseNotRun(code, "a stage ended " + status, 0);
-        } else {
-            refuse(new Refusal(Refusal.Kind.LOST, code, "a stage ended " + status, 0));
-        }
+        giveUp(code, "a stage ended " + status, 0);
     }
 
     /** Ends the request because the instance stops. */
--- a/core/src/main/java/org/fuchsiawharf/core/store/LeasedEntries.java
+++ b/core/src/main/java/org/fuchsiawharf/core/store/LeasedEntries.java
@@ -5,6 +5,7 @@
 import java.util.TreeMap;
 
 import org.fuchsiawharf.core.time.TimerService;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Entries that live in the store for as long as their owner renews them.
@@ -44,6 +45,16 @@
         return Map.copyOf(entries);
     }
 
+    /**
+     * Gets one entry.
+     *
+     * @param key its key, not null
+     * @return the entry, null if there is none
+     */
+    public @Nullable V getEntry(String key) {
+        return entries.get(key);
+    }
+
     /**
      * Counts the entries that are missing but stay for now.
      *
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestStagePools.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestStagePools.java
@@ -61,6 +61,11 @@
             resets.add(member);
         }
 
+        @Override
+        public boolean isConnected(String member) {
+            return up.contains(member);
+        }
+
         @Override
         public Collection<String> connected() {
             return List.copyOf(up);
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
@@ -333,6 +333,11 @@
         @Override
         public void reset(String member) {}
 
+        @Override
+        public boolean isConnected(String member) {
+            return connected().contains(member);
+        }
+
         @Override
         public Collection<String> connected() {
             return pooled
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
@@ -154,6 +154,11 @@
         return List.copyOf(names);
     }
 
+    @Override
+    public boolean isConnected(String member) {
+        return dialled.containsKey(member) || accepted.containsKey(member);
+    }
+
     private @Nullable Channel channelTo(String member) {
         for (Map<String, Channel> channels : List.of(dialled, accepted)) {
             Channel channel = channels.get(member);
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -128,7 +128,7 @@
         });
     }
 
-    /** Starts the loop and opens every address but the callers'. */
+    /** Starts the loop and opens every address, the callers' last. */
     public void start() {
         loop.start();
         loop.execute(pools::start);
