Ask an endpoint that had no space for results how much it has

A pool believed such an endpoint full for 300 ms and then empty: 322 pieces found no space in 12 s of 306 calls, most calls made 1 to 4 pieces of 6, stages took 4 to 5 s. Excluded: the detection of the cut (owners were suspected after 0.6 s), slow endpoints (calls took their usual time). Change: ForeignResults asks the endpoint (its report, priced as a probe) when a piece found no space, and again every 250 ms for as long as others take any; one that does not answer is tried again after that time.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -35,8 +35,6 @@
     private static final long STUCK_SLACK_NANOS = 200_000_000L;
     /** A call that takes so many times its expected time is given up; above the slowness that is worth waiting for. */
     private static final double ABANDON_FACTOR = 8.0;
-    /** How long an endpoint counts as full that had no space for a result; about a call. */
-    private static final long FULL_NANOS = 300_000_000L;
     /** How often waiting pieces are looked at again while endpoints are idle. */
     private static final long RECHECK_NANOS = 25_000_000L;
     /** Call times are compared between endpoints as if each call were expected to take this long. */
@@ -58,6 +56,7 @@
     private final Map<String, List<PieceTask>> tasksByRequest = new HashMap<>();
     private final StageEndpoints endpoints;
     private final ResultReleases releases;
+    private final ForeignResults foreign;
     private @Nullable PieceService spec;
     private @Nullable Timer recheck;
 
@@ -78,6 +77,7 @@
         this.meters = context.meters();
         this.endpoints = new StageEndpoints(service, context);
         this.releases = new ResultReleases(service, context, space, this::dispatch);
+        this.foreign = new ForeignResults(service, context, space, this::dispatch);
     }
 
     /**
@@ -199,7 +199,8 @@
 
     private List<PieceTask> takeBatch(EndpointState endpoint, List<EndpointState> usable, PieceService known) {
         String name = endpoint.getEndpoint().name();
-        long room = (long) (known.resultSpaceMb() * BYTES_PER_MB) - space.getUsed(name, timers.now());
+        long capacity = capacityBytes(known);
+        long room = capacity - space.getUsed(name, timers.now()) - foreign.getUsed(endpoint.getEndpoint(), capacity);
         PieceQueue.Offer offer =
                 new PieceQueue.Offer(name, endpoint.getEndpoint().zone(), known.batch(), room, (long)
                         (known.callMillisFor(1) * NANOS_PER_MILLI));
@@ -210,6 +211,10 @@
                 usable.stream().map(e -> e.getEndpoint().name()).toList());
     }
 
+    private static long capacityBytes(PieceService known) {
+        return (long) (known.resultSpaceMb() * BYTES_PER_MB);
+    }
+
     // -----------------------------------------------------------------------
 
     private void start(EndpointState endpoint, List<PieceTask> batch, PieceService known) {
@@ -349,9 +354,7 @@
                             bytes,
                             "believed_used",
                             space.getUsed(name, timers.now()));
-                    // Results that this pool does not know of fill the endpoint; they lapse or are freed by others.
-                    long capacity = (long) (known.resultSpaceMb() * BYTES_PER_MB);
-                    space.fill(name, capacity, timers.now(), timers.now() + FULL_NANOS);
+                    foreign.onNoSpace(endpoint.getEndpoint(), capacityBytes(known));
                     task.attempts--;
                     requeue(task, false);
                 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceCalls.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceCalls.java
@@ -1,6 +1,7 @@
 package org.fuchsiawharf.core.pieces;
 
 import java.util.List;
+import java.util.function.LongConsumer;
 
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.port.CallFailure;
@@ -30,6 +31,14 @@
      */
     void free(Endpoint endpoint, List<String> handles, Runnable onFreed);
 
+    /**
+     * Asks an endpoint how much space it has left for results, whoever's results take the rest.
+     *
+     * @param endpoint the endpoint, not null
+     * @param onTold takes the bytes that are free, and is never called if that is not known, not null
+     */
+    void askFreeSpace(Endpoint endpoint, LongConsumer onTold);
+
     /** A call under way. */
     @FunctionalInterface
     interface Call {
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ResultSpace.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ResultSpace.java
@@ -17,7 +17,6 @@
 
     private final Map<String, Held> heldByHandle = new LinkedHashMap<>();
     private final Map<String, Long> usedByEndpoint = new LinkedHashMap<>();
-    private long nextUnknown;
 
     /** Gets the bytes in use at an endpoint. */
     long getUsed(String endpoint, long now) {
@@ -44,15 +43,6 @@
         }
     }
 
-    /** Counts an endpoint as full for a while, whatever this pool knows of the results there. */
-    void fill(String endpoint, long capacityBytes, long now, long untilNanos) {
-        long rest = capacityBytes - getUsed(endpoint, now);
-        if (rest > 0) {
-            add(endpoint, rest);
-            hold("unknown/" + endpoint + "/" + nextUnknown++, endpoint, rest, untilNanos);
-        }
-    }
-
     /** Gets the name of a result's maker, null if the pool does not know it. */
     @Nullable
     String getMaker(String handle) {
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/FakePieceCalls.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/FakePieceCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongConsumer;
 
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.port.CallFailure;
@@ -17,6 +18,9 @@
     /** Every handle that was given up. */
     final List<String> freed = new ArrayList<>();
 
+    /** Whoever asked for the free space of an endpoint. */
+    final List<LongConsumer> asked = new ArrayList<>();
+
     /** One batch as it was sent. */
     public static final class Sent {
         final Endpoint endpoint;
@@ -77,6 +81,11 @@
         onFreed.run();
     }
 
+    @Override
+    public void askFreeSpace(Endpoint endpoint, LongConsumer onTold) {
+        asked.add(onTold);
+    }
+
     /** Gets every call, in the order of sending. */
     public List<Sent> getSent() {
         return sent;
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
@@ -100,6 +100,32 @@
         assertThat(world.count(PieceResult.Status.DONE), is(3L));
     }
 
+    @Test
+    void sendsNoMoreThanAnEndpointSaysItHasSpaceForBesidesTheResultsOfOthers() {
+        PoolWorld world = new PoolWorld(4, 3, "a");
+        PieceTerms large = new PieceTerms(0, "", 1_000_000, 0, LONG * PoolWorld.MILLI, LONG * PoolWorld.MILLI);
+        world.submit("r", 3, large);
+        world.calls.last().answer(AnswerKind.NO_SPACE);
+        assertThat(world.calls.asked, hasSize(1));
+        world.calls.asked.get(0).accept(1_200_000);
+        assertThat(world.calls.sent, hasSize(2));
+        assertThat(world.calls.last().orders, hasSize(1));
+    }
+
+    @Test
+    void asksAgainWhetherOthersHaveFreedTheirResults() {
+        PoolWorld world = new PoolWorld(4, 3, "a");
+        PieceTerms large = new PieceTerms(0, "", 1_000_000, 0, LONG * PoolWorld.MILLI, LONG * PoolWorld.MILLI);
+        world.submit("r", 3, large);
+        world.calls.last().answer(AnswerKind.NO_SPACE);
+        world.calls.asked.get(0).accept(0);
+        world.advance(300);
+        assertThat(world.calls.sent, hasSize(1));
+        assertThat(world.calls.asked, hasSize(2));
+        world.calls.asked.get(1).accept(3_000_000);
+        assertThat(world.calls.last().orders, hasSize(3));
+    }
+
     @Test
     void sendsPiecesOfABrokenCallToAnotherEndpoint() {
         PoolWorld world = new PoolWorld(4, 100, "a", "a");
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
@@ -46,6 +46,7 @@
     private static final long MILLI = 1_000_000L;
     private static final long HOP_NANOS = MILLI;
     private static final int ENDPOINT_QUEUE = 2;
+    private static final long STRANDED_NANOS = 4_000 * MILLI;
     private static final String ENGINE = "engine";
     private static final List<String> ZONES = List.of("a", "b", "c");
 
@@ -80,6 +81,16 @@
         int refused;
         int refusedAgain;
 
+        /** Adds what callers got in another play. */
+        Tally add(Tally other) {
+            offered += other.offered;
+            onTime += other.onTime;
+            late += other.late;
+            refused += other.refused;
+            refusedAgain += other.refusedAgain;
+            return this;
+        }
+
         double onTimeShare() {
             return offered == 0 ? 1 : onTime / (double) offered;
         }
@@ -112,6 +123,8 @@
     private long calls;
     private long pieces;
     private long crossedBytes;
+    private double strandedShare;
+    private long strandedUntilNanos;
 
     /** A time in which one kind comes more often. */
     private record Burst(double factor, long fromNanos, long toNanos) {
@@ -153,6 +166,18 @@
         return this;
     }
 
+    /**
+     * Fills a share of every stage endpoint's space with results that nobody frees, as the death of all instances
+     * leaves them; they lapse one after the other.
+     */
+    FleetLoad strand(double share, long atSecond) {
+        timers.schedule(atSecond * 1_000 * MILLI, () -> {
+            strandedShare = share;
+            strandedUntilNanos = timers.now() + STRANDED_NANOS;
+        });
+        return this;
+    }
+
     @Override
     public String toString() {
         return (pooled ? "pooled, " : "each for itself, ")
@@ -359,7 +384,16 @@
 
         @Override
         public void free(Endpoint endpoint, List<String> handles, Runnable onFreed) {
-            timers.schedule(timers.now() + HOP_NANOS, onFreed);
+            timers.schedule(timers.now() + HOP_NANOS, () -> {
+                handles.forEach(Objects.requireNonNull(endpoints.get(endpoint.name())).held::remove);
+                onFreed.run();
+            });
+        }
+
+        @Override
+        public void askFreeSpace(Endpoint endpoint, java.util.function.LongConsumer onTold) {
+            long free = Objects.requireNonNull(endpoints.get(endpoint.name())).freeBytes();
+            timers.schedule(timers.now() + 2 * HOP_NANOS, () -> onTold.accept(free));
         }
     }
 
@@ -368,6 +402,7 @@
         private final Endpoint endpoint;
         private final PieceService spec;
         private final Deque<Runnable> queue = new ArrayDeque<>();
+        private final Map<String, Long> held = new HashMap<>();
         private boolean busy;
 
         private SimulatedEndpoint(Endpoint endpoint, PieceService spec) {
@@ -391,23 +426,39 @@
             }
         }
 
+        private long freeBytes() {
+            long space = (long) (spec.resultSpaceMb() * 1e6);
+            double left = Math.max(0, strandedUntilNanos - timers.now()) / (double) STRANDED_NANOS;
+            long used = held.values().stream().mapToLong(bytes -> bytes).sum();
+            return space - (long) (space * strandedShare * left) - used;
+        }
+
         private void run(List<PieceOrder> orders, PieceCalls.Listener listener) {
-            long took = (long) (spec.callMillisFor(orders.size()) * MILLI);
+            List<PieceCalls.Answer> answers = orders.stream().map(this::make).toList();
+            int made = (int) answers.stream()
+                    .filter(answer -> answer.kind() == PieceCalls.AnswerKind.MADE)
+                    .count();
+            long took = (long) (spec.callMillisFor(made) * MILLI);
             calls++;
-            pieces += orders.size();
-            for (PieceOrder order : orders) {
-                boolean wanted = order.terms().zone().equals(endpoint.zone());
-                crossedBytes += wanted ? 0 : order.terms().crossingBytes();
-            }
+            pieces += made;
             timers.schedule(timers.now() + took, () -> {
                 busy = false;
-                List<PieceCalls.Answer> answers = orders.stream()
-                        .map(order -> new PieceCalls.Answer(
-                                PieceCalls.AnswerKind.MADE, endpoint.host() + ":80/" + order.id()))
-                        .toList();
                 timers.schedule(timers.now() + HOP_NANOS, () -> listener.onAnswered(answers));
                 next();
             });
         }
+
+        private PieceCalls.Answer make(PieceOrder order) {
+            long bytes = order.terms().resultBytes();
+            if (bytes > freeBytes()) {
+                return new PieceCalls.Answer(PieceCalls.AnswerKind.NO_SPACE, "");
+            }
+            boolean wanted = order.terms().zone().equals(endpoint.zone());
+            crossedBytes += wanted ? 0 : order.terms().crossingBytes();
+            String handle = endpoint.host() + ":80/" + order.id();
+            held.put(handle, bytes);
+            timers.schedule(timers.now() + (spec.resultTtlMillis() + 500) * MILLI, () -> held.remove(handle));
+            return new PieceCalls.Answer(PieceCalls.AnswerKind.MADE, handle);
+        }
     }
 }
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.LongConsumer;
 
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.member.Member;
@@ -169,5 +170,8 @@
 
         @Override
         public void free(Endpoint endpoint, List<String> handles, Runnable onFreed) {}
+
+        @Override
+        public void askFreeSpace(Endpoint endpoint, LongConsumer onTold) {}
     }
 }
