Let callers that are late already join only queues that a new request could join

Cause: with 15 to 20 s until its deadline, a returning chat request was taken on whatever waited. At 2.5 times the load 8 of 10 chats were served late; their pieces wait behind all others while their results fill the space that requests in time need, so that the more urgent kinds were late or refused too.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -123,6 +123,7 @@
                 rank,
                 ends.waitMillis(),
                 ends.lastMillis() * bias + statistics.getAnswerMillis(),
+                route.objectiveMillis(),
                 (objectiveNanos - timers.now()) / (double) NANOS_PER_MILLI,
                 (deadlineNanos - timers.now()) / (double) NANOS_PER_MILLI);
         RequestAdmission.Verdict verdict = context.admission().decide(outlook);
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RequestAdmission.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RequestAdmission.java
@@ -41,8 +41,15 @@
      * @param rank its rank, 0 first
      * @param waitMillis how much of its time it would wait, in milliseconds
      * @param doneMillis after how long its first byte would be sent, in milliseconds
+     * @param fullObjectiveMillis its latency objective, counted from its first attempt, in milliseconds
      * @param objectiveMillis what is left of its latency objective, in milliseconds; not positive if it is missed
      * @param deadlineMillis what is left until its deadline, in milliseconds
      */
-    record Outlook(int rank, double waitMillis, double doneMillis, double objectiveMillis, double deadlineMillis) {}
+    record Outlook(
+            int rank,
+            double waitMillis,
+            double doneMillis,
+            double fullObjectiveMillis,
+            double objectiveMillis,
+            double deadlineMillis) {}
 }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestFleetLoad.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestFleetLoad.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.LongFunction;
 
 import org.fuchsiawharf.core.route.PieceService;
 import org.fuchsiawharf.core.route.PieceStage;
@@ -25,7 +27,8 @@
 class TestFleetLoad {
     private static final int INSTANCES = 9;
     private static final long SECONDS = 40;
-    private static final long SEED = 11;
+    // One play of 40 s differs by some hundredths from the next, since refusals shift the later arrivals.
+    private static final List<Long> SEEDS = List.of(11L, 12L, 13L, 14L);
 
     private static final List<FleetLoad.Stage> COACHING_STAGES = List.of(
             new FleetLoad.Stage("encode", new PieceService(1, 2, 7, 200, 24, 15.75, 4_000), 3),
@@ -106,13 +109,18 @@
             boolean pooled,
             RequestAdmission admission,
             double load) {
-        return play(new FleetLoad(kinds, stages, pooled, admission, SEED), load);
+        return play(seed -> new FleetLoad(kinds, stages, pooled, admission, seed), load);
     }
 
-    private static Map<String, FleetLoad.Tally> play(FleetLoad fleet, double load) {
-        Map<String, FleetLoad.Tally> tallies = fleet.play(INSTANCES, load, SECONDS);
-        System.out.printf("load %.1f, %s: %s, %s%n", load, fleet, tallies, fleet.effort());
-        return tallies;
+    private static Map<String, FleetLoad.Tally> play(LongFunction<FleetLoad> fleets, double load) {
+        Map<String, FleetLoad.Tally> sums = new TreeMap<>();
+        for (long seed : SEEDS) {
+            FleetLoad fleet = fleets.apply(seed);
+            Map<String, FleetLoad.Tally> tallies = fleet.play(INSTANCES, load, SECONDS);
+            System.out.printf("load %.1f, seed %d, %s: %s, %s%n", load, seed, fleet, tallies, fleet.effort());
+            tallies.forEach((kind, tally) -> sums.merge(kind, tally, FleetLoad.Tally::add));
+        }
+        return sums;
     }
 
     private static double share(Map<String, FleetLoad.Tally> tallies, String kind) {
@@ -153,8 +161,8 @@
     void admissionServesTheUrgentKindsBeyondCapacity() {
         Map<String, FleetLoad.Tally> with = play(coaching(), COACHING_STAGES, true, new ObjectiveAdmission(), 2.5);
         Map<String, FleetLoad.Tally> without = play(coaching(), COACHING_STAGES, true, new AdmitEvery(), 2.5);
-        assertThat(share(with, "advice"), is(greaterThan(0.6)));
-        assertThat(share(with, "dossier"), is(greaterThan(0.6)));
+        assertThat(share(with, "advice"), is(greaterThan(0.85)));
+        assertThat(share(with, "dossier"), is(greaterThan(0.85)));
         assertThat(share(without, "advice"), is(lessThan(0.6)));
     }
 
@@ -162,16 +170,33 @@
     void servesBurstsOfOneKindAfterAnother() {
         for (List<FleetLoad.Kind> kinds : List.of(coaching(), bearings())) {
             List<FleetLoad.Stage> stages = kinds.get(0).perSecond() == 6.5 ? COACHING_STAGES : BEARING_STAGES;
-            FleetLoad fleet = new FleetLoad(kinds, stages, true, new ObjectiveAdmission(), SEED)
-                    .burst("dossier", 2.4, 5, 11)
-                    .burst("advice", 2.4, 16, 22)
-                    .burst("chat", 2.4, 28, 33);
-            Map<String, FleetLoad.Tally> tallies = play(fleet, 1);
+            Map<String, FleetLoad.Tally> tallies = play(
+                    seed -> new FleetLoad(kinds, stages, true, new ObjectiveAdmission(), seed)
+                            .burst("dossier", 2.4, 5, 11)
+                            .burst("advice", 2.4, 16, 22)
+                            .burst("chat", 2.4, 28, 33),
+                    1);
             assertThat(share(tallies, "dossier"), is(greaterThan(0.85)));
             assertThat(share(tallies, "advice"), is(greaterThan(0.85)));
         }
     }
 
+    @Test
+    void worksAroundResultsThatNobodyFrees() {
+        for (List<FleetLoad.Kind> kinds : List.of(coaching(), bearings())) {
+            List<FleetLoad.Stage> stages = kinds.get(0).perSecond() == 6.5 ? COACHING_STAGES : BEARING_STAGES;
+            Map<String, FleetLoad.Tally> tallies = play(
+                    seed -> new FleetLoad(kinds, stages, true, new ObjectiveAdmission(), seed)
+                            .strand(0.9, 5)
+                            .strand(0.9, 15)
+                            .strand(0.9, 25),
+                    1.3);
+            assertThat(share(tallies, "dossier"), is(greaterThan(0.9)));
+            assertThat(share(tallies, "advice"), is(greaterThan(0.88)));
+            assertThat(share(tallies, "chat"), is(greaterThan(0.42)));
+        }
+    }
+
     @Test
     void playsTwiceTheLoad() {
         Map<String, FleetLoad.Tally> with = play(coaching(), COACHING_STAGES, true, new ObjectiveAdmission(), 2);
--- /dev/null
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestObjectiveAdmission.java
@@ -0,0 +1,50 @@
+package org.fuchsiawharf.core.relay;
+
+import org.fuchsiawharf.core.relay.RequestAdmission.Outlook;
+import org.fuchsiawharf.core.relay.RequestAdmission.Verdict;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+class TestObjectiveAdmission {
+    private static final double OBJECTIVE = 1_000;
+    private static final double FAR = 15_000;
+
+    private final RequestAdmission admission = new ObjectiveAdmission();
+
+    private Verdict decide(double wait, double done, double objectiveLeft) {
+        return admission.decide(new Outlook(2, wait, done, OBJECTIVE, objectiveLeft, FAR));
+    }
+
+    @Test
+    void takesOnWhatMeetsNoQueue() {
+        assertThat(decide(0, 3_000, OBJECTIVE).admitted(), is(true));
+    }
+
+    @Test
+    void refusesWhatCannotEndBeforeItsDeadlineWithoutAdvice() {
+        assertThat(decide(0, FAR + 1, OBJECTIVE), is(Verdict.refuse(0)));
+    }
+
+    @Test
+    void refusesWhatTheQueueMakesLate() {
+        assertThat(decide(300, 900, OBJECTIVE).admitted(), is(true));
+        assertThat(decide(700, 1_300, OBJECTIVE).admitted(), is(false));
+    }
+
+    @Test
+    void holdsACallerThatIsLateAlreadyToTheQueueOfANewOne() {
+        assertThat(decide(200, 800, -500).admitted(), is(true));
+        assertThat(decide(2_000, 2_600, -500).admitted(), is(false));
+    }
+
+    @Test
+    void callsBackLaterTheLongerTheQueue() {
+        long shorter = decide(600, 1_000, OBJECTIVE).retryAfterMillis();
+        long longer = decide(1_000, 1_600, OBJECTIVE).retryAfterMillis();
+        assertThat(shorter, is(greaterThan(0L)));
+        assertThat(longer, is(greaterThan(shorter)));
+    }
+}
