Take reports of free space for what they are: whole megabytes

Change: a report is an interval; within it the belief that an endpoint is full halves every 600 ms and is renewed by the next piece without space.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ForeignResults.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ForeignResults.java
@@ -6,20 +6,26 @@
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.time.TimerService;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The space that results of others take at each endpoint of a service.
  *
  * <p>Answers the load after a cut or the death of instances: their results fill endpoints for seconds, and a call that
- * finds no space costs as much as one that makes a full batch. An endpoint that had no space for a piece counts as
- * full until it tells how much is free, and is asked again for as long as others take any. One that does not tell is
- * tried again after a while. Confined to the decision loop.
+ * finds space for one piece costs almost as much as one that makes a full batch. An endpoint that had no space for a
+ * piece counts as full; that belief halves as time passes, within what the endpoint reports, and is renewed by the next
+ * piece without space. The endpoint is asked again for as long as others take any. Confined to the decision loop.
  */
 final class ForeignResults {
-    /** How long what an endpoint told is relied on; about a call, in which others free or make some results. */
+    /** How long a report is relied on; about a call, in which others free or make some results. */
     private static final long REFRESH_NANOS = 250_000_000L;
-    /** Less than any result; what is smaller is forgotten. */
-    private static final long NEGLIGIBLE_BYTES = 1_000;
+    /**
+     * After how long half of what was believed to be taken is tried. Results whose owner died lapse within seconds,
+     * those of a live owner go within about a call; at 250 ms more calls find no space, at 1,500 ms more space is idle.
+     */
+    private static final double HALVING_NANOS = 600e6;
+    /** The share of the space that counts as none. */
+    private static final double NEGLIGIBLE_SHARE = 1 / 16.0;
 
     private final String service;
     private final PieceCalls calls;
@@ -29,11 +35,12 @@
     private final Runnable onTold;
     private final Map<String, Share> shareByEndpoint = new HashMap<>();
 
-    /** What others take at one endpoint, as of the last time that it was asked. */
+    /** What others take at one endpoint. */
     private static final class Share {
-        private long bytes;
+        private long believed;
+        private long believedNanos;
         private long askedNanos;
-        private boolean answered;
+        private PieceCalls.@Nullable FreeSpace report;
     }
 
     /**
@@ -53,51 +60,65 @@
         this.onTold = onTold;
     }
 
-    /** Gets the bytes that others take at an endpoint; asks it again if that is not fresh. */
+    /** Gets the bytes that others take at an endpoint; asks it again if its report is not fresh. */
     long getUsed(Endpoint endpoint, long capacityBytes) {
         Share share = shareByEndpoint.get(endpoint.name());
         if (share == null) {
             return 0;
         }
+        long used = estimate(share, endpoint, capacityBytes);
+        if (used < capacityBytes * NEGLIGIBLE_SHARE) {
+            shareByEndpoint.remove(endpoint.name());
+            return 0;
+        }
         if (timers.now() - share.askedNanos >= REFRESH_NANOS) {
-            if (!share.answered || share.bytes < NEGLIGIBLE_BYTES) {
-                shareByEndpoint.remove(endpoint.name());
-                return 0;
-            }
             ask(endpoint, capacityBytes, share);
         }
-        return share.bytes;
+        return used;
+    }
+
+    private long estimate(Share share, Endpoint endpoint, long capacityBytes) {
+        long age = timers.now() - share.believedNanos;
+        long belief = (long) (share.believed * Math.pow(0.5, age / HALVING_NANOS));
+        PieceCalls.FreeSpace report = share.report;
+        if (report == null) {
+            return belief;
+        }
+        long rest = capacityBytes - own.getUsed(endpoint.name(), timers.now());
+        long least = Math.max(0, rest - report.atMostBytes());
+        return Math.max(least, Math.min(belief, Math.max(0, rest - report.atLeastBytes())));
     }
 
     /** Counts an endpoint as full, since it had no space for a piece, and asks how much it has. */
     void onNoSpace(Endpoint endpoint, long capacityBytes) {
         Share share = shareByEndpoint.computeIfAbsent(endpoint.name(), e -> new Share());
-        boolean asked = share.askedNanos == timers.now() && share.bytes > 0;
-        share.bytes = Math.max(share.bytes, capacityBytes - own.getUsed(endpoint.name(), timers.now()));
-        if (!asked) {
+        boolean news = share.believed == 0 || share.believedNanos != timers.now();
+        share.believed = Math.max(0, capacityBytes - own.getUsed(endpoint.name(), timers.now()));
+        share.believedNanos = timers.now();
+        if (news) {
             ask(endpoint, capacityBytes, share);
         }
     }
 
     private void ask(Endpoint endpoint, long capacityBytes, Share share) {
         share.askedNanos = timers.now();
-        share.answered = false;
-        calls.askFreeSpace(endpoint, free -> {
-            share.answered = true;
-            long used = own.getUsed(endpoint.name(), timers.now());
-            share.bytes = Math.max(0, capacityBytes - free - used);
+        share.report = null;
+        calls.askFreeSpace(endpoint, report -> {
+            share.report = report;
             log.write(
                     "stage.space_told",
                     "service",
                     service,
                     "endpoint",
                     endpoint.name(),
-                    "free_bytes",
-                    free,
+                    "free_at_least",
+                    report.atLeastBytes(),
+                    "free_at_most",
+                    report.atMostBytes(),
                     "own_bytes",
-                    used,
+                    own.getUsed(endpoint.name(), timers.now()),
                     "foreign_bytes",
-                    share.bytes);
+                    estimate(share, endpoint, capacityBytes));
             onTold.run();
         });
     }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceCalls.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceCalls.java
@@ -1,7 +1,7 @@
 package org.fuchsiawharf.core.pieces;
 
 import java.util.List;
-import java.util.function.LongConsumer;
+import java.util.function.Consumer;
 
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.port.CallFailure;
@@ -35,9 +35,17 @@
      * Asks an endpoint how much space it has left for results, whoever's results take the rest.
      *
      * @param endpoint the endpoint, not null
-     * @param onTold takes the bytes that are free, and is never called if that is not known, not null
+     * @param onTold takes what is free, and is never called if that is not known, not null
      */
-    void askFreeSpace(Endpoint endpoint, LongConsumer onTold);
+    void askFreeSpace(Endpoint endpoint, Consumer<FreeSpace> onTold);
+
+    /**
+     * What an endpoint says of its free space for results, as exactly as it says it.
+     *
+     * @param atLeastBytes the least that is free, in bytes
+     * @param atMostBytes the most that is free, in bytes
+     */
+    record FreeSpace(long atLeastBytes, long atMostBytes) {}
 
     /** A call under way. */
     @FunctionalInterface
