--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
@@ -192,6 +192,17 @@
         assertThat(world.calls.freed, hasSize(1));
     }
 
+    @Test
+    void forgetsAPieceThatWaitsForAnotherCallOnceTheStuckOneAnswers() {
+        PoolWorld world = new PoolWorld(4, 100, "a");
+        world.submit("r", 1, world.terms(5_000, LONG));
+        world.advance(800);
+        world.calls.sent.get(0).make();
+        world.advance(100);
+        assertThat(world.calls.sent, hasSize(1));
+        assertThat(world.results, hasSize(1));
+    }
+
     @Test
     void refusesPiecesThatCannotBeDoneBeforeTheirDeadline() {
         PoolWorld world = new PoolWorld(4, 100, "a");
