--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
@@ -259,16 +259,19 @@
         ScriptedEndpoint slow = new ScriptedEndpoint().then((r, s) -> {});
         try (RelayFixture fixture = new RelayFixture(slow)) {
             CountDownLatch held = new CountDownLatch(1);
+            CountDownLatch heldAfterRequest = new CountDownLatch(1);
             fixture.process.getLoop().execute(() -> awaitQuietly(held));
             try (Socket socket = fixture.connect()) {
                 write(socket, RelayFixture.request("POST", "/post/", "r1", "", "0123456789"));
                 Thread.sleep(200);
+                fixture.process.getLoop().execute(() -> awaitQuietly(heldAfterRequest));
             }
             Thread.sleep(200);
-            // The decisions learn of the request only now, after its caller has left.
+            // The decisions learn of the request only now, and not yet that its caller has left.
             held.countDown();
             Thread.sleep(300);
             assertThat(slow.requests, hasSize(0));
+            heldAfterRequest.countDown();
         }
         slow.close();
     }
