--- a/core/src/main/java/org/fuchsiawharf/core/store/BudgetedStore.java
+++ b/core/src/main/java/org/fuchsiawharf/core/store/BudgetedStore.java
@@ -14,15 +14,10 @@
  * <p>A call beyond the budget is refused as unavailable at once. Thread-safe.
  */
 public final class BudgetedStore implements KeyValueStore {
-    private static final double NANOS_PER_SECOND = 1e9;
-
     private final KeyValueStore store;
-    private final Clock clock;
-    private final double perSecond;
+    private final CallBudget budget;
     private final Map<String, ReentrantLock> writing = new ConcurrentHashMap<>();
     private final AtomicLong calls = new AtomicLong();
-    private double balance;
-    private long lastNanos;
     private volatile boolean reachable = true;
 
     /**
@@ -34,10 +29,7 @@
      */
     public BudgetedStore(KeyValueStore store, Clock clock, double perSecond) {
         this.store = store;
-        this.clock = clock;
-        this.perSecond = perSecond;
-        this.balance = perSecond;
-        this.lastNanos = clock.nanos();
+        this.budget = new CallBudget(clock, perSecond);
     }
 
     /**
@@ -92,15 +84,11 @@
         return result;
     }
 
-    private synchronized boolean trySpend() {
-        long now = clock.nanos();
-        balance = Math.min(perSecond, balance + (now - lastNanos) / NANOS_PER_SECOND * perSecond);
-        lastNanos = now;
-        if (balance < 1) {
-            return false;
+    private boolean trySpend() {
+        boolean may = budget.trySpend();
+        if (may) {
+            calls.incrementAndGet();
         }
-        balance -= 1;
-        calls.incrementAndGet();
-        return true;
+        return may;
     }
 }
