--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestStagePools.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestStagePools.java
@@ -213,6 +213,25 @@
         assertThat(world.calls.sent, is(empty()));
     }
 
+    @Test
+    void givesBackWhatWaitsAndEndsWhatRunsWhenItLeaves() {
+        List<PieceOrder> orders = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            orders.add(PoolWorld.order("x", i, world.terms(5_000, LONG)));
+        }
+        pools.onMessage(zoneOwner.name(), new PeerMessage.SubmitPieces(PoolWorld.SERVICE, orders));
+        assertThat(world.calls.sent, hasSize(2));
+        pools.leave();
+        List<PeerMessage.PiecesEnded> ended = peers.to(zoneOwner, PeerMessage.PiecesEnded.class);
+        assertThat(
+                ended,
+                contains(new PeerMessage.PiecesEnded(
+                        PoolWorld.SERVICE,
+                        List.of(PieceResult.unmade(orders.get(8).id(), PieceResult.Status.WITHDRAWN)))));
+        List.copyOf(world.calls.sent).forEach(FakePieceCalls.Sent::make);
+        assertThat(peers.to(zoneOwner, PeerMessage.PiecesEnded.class), hasSize(9));
+    }
+
     @Test
     void worksForOthersAndTellsThem() {
         PieceOrder order = PoolWorld.order("x", 0, world.terms(1_000, LONG));
