--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
@@ -192,6 +192,18 @@
         assertThat(world.calls.freed, hasSize(1));
     }
 
+    @Test
+    void keepsAPieceWithItsSlowCallIfNoRepeatIsAllowed() {
+        PoolWorld world = new PoolWorld(4, 100, "a", "b");
+        while (world.budget.tryRepeat(PoolWorld.SERVICE)) {
+            assertThat(world.calls.sent, is(empty()));
+        }
+        world.submit("r", 1, world.terms(5_000, LONG));
+        world.advance(800);
+        world.calls.sent.get(0).make();
+        assertThat(world.count(PieceResult.Status.DONE), is(1L));
+    }
+
     @Test
     void forgetsAPieceThatWaitsForAnotherCallOnceTheStuckOneAnswers() {
         PoolWorld world = new PoolWorld(4, 100, "a");
