--- a/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
+++ b/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
@@ -200,13 +200,18 @@
     private void giveWay(StreamSourceChannel channel) {
         channel.suspendReads();
         givesWay = true;
-        thread.executeAfter(
-                () -> {
-                    givesWay = false;
-                    readBody(channel);
-                },
-                PAUSE_MILLIS,
-                TimeUnit.MILLISECONDS);
+        try {
+            thread.executeAfter(
+                    () -> {
+                        givesWay = false;
+                        readBody(channel);
+                    },
+                    PAUSE_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            // The client is closing, and closes every connection.
+            givesWay = false;
+        }
     }
 
     private void end() {
