--- a/core/src/test/java/org/fuchsiawharf/core/pieces/PoolWorld.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/PoolWorld.java
@@ -57,6 +57,11 @@
         return new PieceTerms(0, "", 1_000, 0, timers.now() + dueMillis * MILLI, timers.now() + deadlineMillis * MILLI);
     }
 
+    /** Gets terms of a piece of rank 0 without a zone, not due soon, whose result has so many bytes. */
+    static PieceTerms sized(long resultBytes) {
+        return new PieceTerms(0, "", resultBytes, 0, 60_000 * MILLI, 60_000 * MILLI);
+    }
+
     void submit(String request, int pieces, PieceTerms terms) {
         List<PieceOrder> orders = new ArrayList<>();
         for (int i = 0; i < pieces; i++) {
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
@@ -54,7 +54,7 @@
     @Test
     void keepsPiecesBackThatFindNoSpaceUntilResultsAreFreed() {
         PoolWorld world = new PoolWorld(4, 3, "a");
-        PieceTerms large = new PieceTerms(0, "", 1_000_000, 0, LONG * PoolWorld.MILLI, LONG * PoolWorld.MILLI);
+        PieceTerms large = PoolWorld.sized(1_000_000);
         world.submit("r", 5, large);
         assertThat(world.calls.last().orders, hasSize(3));
         world.calls.last().make();
@@ -69,7 +69,7 @@
     @Test
     void believesThatResultsLapseAfterTheirTime() {
         PoolWorld world = new PoolWorld(4, 3, "a");
-        PieceTerms large = new PieceTerms(0, "", 1_000_000, 0, LONG * PoolWorld.MILLI, LONG * PoolWorld.MILLI);
+        PieceTerms large = PoolWorld.sized(1_000_000);
         world.submit("r", 4, large);
         world.calls.last().make();
         world.advance(4_200);
@@ -92,7 +92,7 @@
     @Test
     void believesAnEndpointFullOnlyForAWhileHoweverManyPiecesFoundNoSpace() {
         PoolWorld world = new PoolWorld(4, 3, "a");
-        PieceTerms large = new PieceTerms(0, "", 1_000_000, 0, LONG * PoolWorld.MILLI, LONG * PoolWorld.MILLI);
+        PieceTerms large = PoolWorld.sized(1_000_000);
         world.submit("r", 3, large);
         world.calls.last().answer(AnswerKind.NO_SPACE);
         world.advance(400);
@@ -108,7 +108,7 @@
     @Test
     void sendsNoMoreThanAnEndpointSaysItHasSpaceForBesidesTheResultsOfOthers() {
         PoolWorld world = new PoolWorld(4, 3, "a");
-        PieceTerms large = new PieceTerms(0, "", 1_000_000, 0, LONG * PoolWorld.MILLI, LONG * PoolWorld.MILLI);
+        PieceTerms large = PoolWorld.sized(1_000_000);
         world.submit("r", 3, large);
         world.calls.last().answer(AnswerKind.NO_SPACE);
         assertThat(world.calls.asked, hasSize(1));
@@ -120,7 +120,7 @@
     @Test
     void triesMoreAsTimePassesIfTheReportIsTooCoarse() {
         PoolWorld world = new PoolWorld(8, 0.8, "a");
-        PieceTerms small = new PieceTerms(0, "", 100_000, 0, LONG * PoolWorld.MILLI, LONG * PoolWorld.MILLI);
+        PieceTerms small = PoolWorld.sized(100_000);
         world.submit("r", 8, small);
         world.calls.last().answer(AnswerKind.NO_SPACE);
         world.calls.asked.get(0).accept(new PieceCalls.FreeSpace(0, 1_000_000));
@@ -133,7 +133,7 @@
     @Test
     void asksAgainWhetherOthersHaveFreedTheirResults() {
         PoolWorld world = new PoolWorld(4, 3, "a");
-        PieceTerms large = new PieceTerms(0, "", 1_000_000, 0, LONG * PoolWorld.MILLI, LONG * PoolWorld.MILLI);
+        PieceTerms large = PoolWorld.sized(1_000_000);
         world.submit("r", 3, large);
         world.calls.last().answer(AnswerKind.NO_SPACE);
         world.calls.asked.get(0).accept(new PieceCalls.FreeSpace(0, 0));
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetLoad.java
@@ -1,16 +1,13 @@
 package org.fuchsiawharf.core.relay;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
@@ -22,11 +19,8 @@
 import org.fuchsiawharf.core.member.PeerPort;
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.model.EndpointStatus;
-import org.fuchsiawharf.core.pieces.PieceCalls;
-import org.fuchsiawharf.core.pieces.PieceOrder;
 import org.fuchsiawharf.core.pieces.PoolContext;
 import org.fuchsiawharf.core.pieces.StagePools;
-import org.fuchsiawharf.core.port.CallFailure;
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.route.ClientLimits;
 import org.fuchsiawharf.core.route.PieceService;
@@ -40,14 +34,11 @@
 /**
  * Plays an open load on a fleet of instances and counts what callers get, on virtual time and without a network.
  *
- * <p>Stage endpoints run one call at a time and let two wait; engines begin to answer after the reading of the
- * prompt. Confined to the test's thread.
+ * <p>Engines begin to answer after the reading of the prompt; the stage endpoints are {@link SimulatedStage}. Confined to the test's thread.
  */
 final class FleetLoad {
     private static final long MILLI = 1_000_000L;
     private static final long HOP_NANOS = MILLI;
-    private static final int ENDPOINT_QUEUE = 2;
-    private static final long STRANDED_NANOS = 4_000 * MILLI;
     private static final String ENGINE = "engine";
     private static final List<String> ZONES = List.of("a", "b", "c");
 
@@ -114,18 +105,13 @@
     private final List<Stage> stages;
     private final boolean pooled;
     private final RequestAdmission admission;
-    private final Map<String, SimulatedEndpoint> endpoints = new HashMap<>();
+    private final SimulatedStage stage = new SimulatedStage(timers, HOP_NANOS);
     private final List<EndpointStatus> listed = new ArrayList<>();
     private final List<RelayInstance> instances = new ArrayList<>();
     private final Map<String, StagePools> poolsByName = new HashMap<>();
     private final Map<String, Tally> tallies = new TreeMap<>();
     private final Map<String, Burst> bursts = new HashMap<>();
     private int nextId;
-    private long calls;
-    private long pieces;
-    private long crossedBytes;
-    private double strandedShare;
-    private long strandedUntilNanos;
 
     /** A time in which one kind comes more often. */
     private record Burst(double factor, long fromNanos, long toNanos) {
@@ -172,10 +158,7 @@
      * leaves them; they lapse one after the other.
      */
     FleetLoad strand(double share, long atSecond) {
-        timers.schedule(atSecond * 1_000 * MILLI, () -> {
-            strandedShare = share;
-            strandedUntilNanos = timers.now() + STRANDED_NANOS;
-        });
+        timers.schedule(atSecond * 1_000 * MILLI, () -> stage.strand(share));
         return this;
     }
 
@@ -187,7 +170,7 @@
 
     /** Gets how full calls were and how many megabytes were made away from where they were wanted. */
     String effort() {
-        return String.format("%.1f pieces a call, %d MB crossed", pieces / (double) calls, crossedBytes / 1_000_000);
+        return stage.effort();
     }
 
     private void schedule(Kind kind, double load, long end) {
@@ -273,7 +256,7 @@
         Endpoint endpoint = new Endpoint(name, service, ZONES.get(index % 3), "10.2.0." + host, 80);
         listed.add(new EndpointStatus(endpoint, false));
         if (spec != null) {
-            endpoints.put(name, new SimulatedEndpoint(endpoint, spec));
+            stage.add(endpoint, spec);
         }
     }
 
@@ -285,11 +268,10 @@
         EndpointTable table = new EndpointTable(self.zone(), NoConcurrencyLimit::new);
         OutlierEjection health = new OutlierEjection();
         SharedRetryBudget budget = new SharedRetryBudget(0.2, 58, 10_000 * MILLI, members::size, timers::now);
-        PieceCalls pieceCalls = new SimulatedPieceCalls();
         StagePools pools = new StagePools(
                 members,
                 new SimulatedPeers(self.name(), all),
-                new PoolContext(table, health, pieceCalls, timers, budget, DecisionLog.NONE, Meters.NONE));
+                new PoolContext(table, health, stage, timers, budget, DecisionLog.NONE, Meters.NONE));
         poolsByName.put(self.name(), pools);
         SplittableRandom own = random.split();
         RelayInstance instance = new RelayInstance(new RelayContext(
@@ -374,94 +356,4 @@
                     : List.of();
         }
     }
-
-    private final class SimulatedPieceCalls implements PieceCalls {
-        @Override
-        public Call send(Endpoint endpoint, List<PieceOrder> orders, Listener listener) {
-            SimulatedEndpoint target = Objects.requireNonNull(endpoints.get(endpoint.name()));
-            timers.schedule(timers.now() + HOP_NANOS, () -> target.accept(orders, listener));
-            return () -> {};
-        }
-
-        @Override
-        public void free(Endpoint endpoint, List<String> handles, Runnable onFreed) {
-            timers.schedule(timers.now() + HOP_NANOS, () -> {
-                handles.forEach(Objects.requireNonNull(endpoints.get(endpoint.name())).held::remove);
-                onFreed.run();
-            });
-        }
-
-        @Override
-        public void askFreeSpace(Endpoint endpoint, Consumer<FreeSpace> onTold) {
-            long free = Objects.requireNonNull(endpoints.get(endpoint.name())).freeBytes();
-            // Reports come in whole megabytes, which tells nothing of a small space.
-            long least = Math.max(0, free / 1_000_000 * 1_000_000);
-            timers.schedule(timers.now() + 2 * HOP_NANOS, () -> onTold.accept(new FreeSpace(least, least + 1_000_000)));
-        }
-    }
-
-    /** An endpoint that works on one call at a time. */
-    private final class SimulatedEndpoint {
-        private final Endpoint endpoint;
-        private final PieceService spec;
-        private final Deque<Runnable> queue = new ArrayDeque<>();
-        private final Map<String, Long> held = new HashMap<>();
-        private boolean busy;
-
-        private SimulatedEndpoint(Endpoint endpoint, PieceService spec) {
-            this.endpoint = endpoint;
-            this.spec = spec;
-        }
-
-        private void accept(List<PieceOrder> orders, PieceCalls.Listener listener) {
-            if (busy && queue.size() >= ENDPOINT_QUEUE) {
-                timers.schedule(timers.now() + HOP_NANOS, () -> listener.onFailed(CallFailure.REFUSED, "full"));
-                return;
-            }
-            queue.add(() -> run(orders, listener));
-            next();
-        }
-
-        private void next() {
-            if (!busy && !queue.isEmpty()) {
-                busy = true;
-                queue.remove().run();
-            }
-        }
-
-        private long freeBytes() {
-            long space = (long) (spec.resultSpaceMb() * 1e6);
-            double left = Math.max(0, strandedUntilNanos - timers.now()) / (double) STRANDED_NANOS;
-            long used = held.values().stream().mapToLong(bytes -> bytes).sum();
-            return space - (long) (space * strandedShare * left) - used;
-        }
-
-        private void run(List<PieceOrder> orders, PieceCalls.Listener listener) {
-            List<PieceCalls.Answer> answers = orders.stream().map(this::make).toList();
-            int made = (int) answers.stream()
-                    .filter(answer -> answer.kind() == PieceCalls.AnswerKind.MADE)
-                    .count();
-            long took = (long) (spec.callMillisFor(made) * MILLI);
-            calls++;
-            pieces += made;
-            timers.schedule(timers.now() + took, () -> {
-                busy = false;
-                timers.schedule(timers.now() + HOP_NANOS, () -> listener.onAnswered(answers));
-                next();
-            });
-        }
-
-        private PieceCalls.Answer make(PieceOrder order) {
-            long bytes = order.terms().resultBytes();
-            if (bytes > freeBytes()) {
-                return new PieceCalls.Answer(PieceCalls.AnswerKind.NO_SPACE, "");
-            }
-            boolean wanted = order.terms().zone().equals(endpoint.zone());
-            crossedBytes += wanted ? 0 : order.terms().crossingBytes();
-            String handle = endpoint.host() + ":80/" + order.id();
-            held.put(handle, bytes);
-            timers.schedule(timers.now() + (spec.resultTtlMillis() + 500) * MILLI, () -> held.remove(handle));
-            return new PieceCalls.Answer(PieceCalls.AnswerKind.MADE, handle);
-        }
-    }
 }
