--- a/core/src/main/java/org/fuchsiawharf/core/loop/TaskLoop.java
+++ b/core/src/main/java/org/fuchsiawharf/core/loop/TaskLoop.java
@@ -28,6 +28,7 @@
     private final List<LongConsumer> pauseListeners = new ArrayList<>();
     private long lastWallMillis = System.currentTimeMillis();
     private long lastNanos;
+    private long maxDelayNanos;
 
     /**
      * Creates a loop that {@link #start} starts.
@@ -64,6 +65,17 @@
         pauseListeners.add(listener);
     }
 
+    /**
+     * Gets the longest time by which a timer was late since the last call; to be called on the loop.
+     *
+     * @return the delay, in nanoseconds
+     */
+    public long takeMaxDelayNanos() {
+        long delayNanos = maxDelayNanos;
+        maxDelayNanos = 0;
+        return delayNanos;
+    }
+
     @Override
     public void execute(Runnable task) {
         loop.publish(new Event.Task(task));
@@ -77,7 +89,9 @@
     private final class Processor implements EventProcessor {
         @Override
         public void process(Event event, long nowNanos) {
-            long pausedNanos = Math.max(nowNanos - timers.getNextDue(), measureSuspensionNanos(nowNanos));
+            long lateNanos = nowNanos - timers.getNextDue();
+            maxDelayNanos = Math.max(maxDelayNanos, lateNanos);
+            long pausedNanos = Math.max(lateNanos, measureSuspensionNanos(nowNanos));
             if (timers.getNextDue() != TimerService.NEVER && pausedNanos > PAUSE_THRESHOLD_NANOS) {
                 pauseListeners.forEach(listener -> listener.accept(pausedNanos));
             }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -199,14 +199,12 @@
     }
 
     private List<PieceTask> takeBatch(EndpointState endpoint, List<EndpointState> usable, PieceService pieceSpec) {
-        String name = endpoint.getEndpoint().name();
-        long capacity = capacityBytes(pieceSpec);
-        long freeBytes = capacity
-                - resultSpace.getUsedBytes(name, timers.now())
-                - foreignSpace.estimateAndRefresh(endpoint.getEndpoint(), capacity);
-        PieceQueue.Offer offer =
-                new PieceQueue.Offer(name, endpoint.getEndpoint().zone(), pieceSpec.batch(), freeBytes, (long)
-                        (pieceSpec.callMillisFor(1) * NANOS_PER_MILLI));
+        PieceQueue.Offer offer = new PieceQueue.Offer(
+                endpoint.getEndpoint().name(),
+                endpoint.getEndpoint().zone(),
+                pieceSpec.batch(),
+                freeBytes(endpoint, pieceSpec),
+                (long) (pieceSpec.callMillisFor(1) * NANOS_PER_MILLI));
         return queue.take(
                 offer,
                 timers.now(),
@@ -214,6 +212,13 @@
                 usable.stream().map(e -> e.getEndpoint().name()).toList());
     }
 
+    private long freeBytes(EndpointState endpoint, PieceService pieceSpec) {
+        long capacity = capacityBytes(pieceSpec);
+        return capacity
+                - resultSpace.getUsedBytes(endpoint.getEndpoint().name(), timers.now())
+                - foreignSpace.estimateAndRefresh(endpoint.getEndpoint(), capacity);
+    }
+
     private static long capacityBytes(PieceService pieceSpec) {
         return (long) (pieceSpec.resultSpaceMb() * BYTES_PER_MB);
     }
@@ -273,6 +278,8 @@
         private final double expectedNanos;
         private final Timer stuckTimer;
         private final Timer abandonTimer;
+        private final int queuedAtStart = queue.size();
+        private final long freeBytesAtStart;
         private PieceCalls.@Nullable Call call;
         private boolean stuck;
 
@@ -282,6 +289,7 @@
             this.batch = batch;
             this.pieceSpec = pieceSpec;
             this.expectedNanos = pieceSpec.callMillisFor(batch.size()) * NANOS_PER_MILLI;
+            this.freeBytesAtStart = freeBytes(endpoint, pieceSpec);
             this.stuckTimer = timers.schedule(
                     sentNanos + (long) (STUCK_FACTOR * expectedNanos) + STUCK_SLACK_NANOS, this::onStuck);
             this.abandonTimer = timers.schedule(sentNanos + (long) (ABANDON_FACTOR * expectedNanos), this::onAbandoned);
@@ -322,7 +330,11 @@
                     "expected_ms",
                     (long) (expectedNanos / NANOS_PER_MILLI),
                     "waiting",
-                    queue.size());
+                    queue.size(),
+                    "waiting_at_start",
+                    queuedAtStart,
+                    "free_bytes_at_start",
+                    freeBytesAtStart);
             for (int i = 0; i < batch.size(); i++) {
                 onPieceAnswered(batch.get(i), answers.get(i));
             }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.member.Member;
@@ -222,6 +223,15 @@
         return isOwner ? 0 : timers.now() - reportedBacklog(service).getReportedAtNanos();
     }
 
+    /**
+     * Gets the number of pieces that other instances run for this one.
+     *
+     * @return the count, at least 0
+     */
+    public int getOutstandingCount() {
+        return outstanding.size();
+    }
+
     // -----------------------------------------------------------------------
 
     /**
@@ -364,12 +374,23 @@
 
     private void suspect(String member, String reason) {
         if (owners.suspect(member)) {
-            log.write("peer.suspected", "peer", member, "reason", reason, "pieces", countOutstandingAt(member));
+            log.write(
+                    "peer.suspected",
+                    "peer",
+                    member,
+                    "reason",
+                    reason,
+                    "pieces",
+                    countOutstandingAt(member),
+                    "last_received_ms_ago",
+                    (timers.now() - owners.getLastReceivedNanos(member)) / 1_000_000,
+                    "peers",
+                    peers.getConnectedPeers().size());
         }
         resubmitWhere(o -> o.owner.equals(member), reason);
     }
 
-    private void resubmitWhere(java.util.function.Predicate<SentPiece> condition, String reason) {
+    private void resubmitWhere(Predicate<SentPiece> condition, String reason) {
         Map<String, List<SentPiece>> piecesByService = new HashMap<>();
         outstanding.values().removeIf(piece -> {
             boolean matches = condition.test(piece);
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -52,6 +52,8 @@
     private static final long GRACE_MARGIN_MILLIS = 700;
 
     private static final long POLL_INTERVAL_MILLIS = 50;
+    /** Interval between log lines that report the load of the instance. */
+    private static final long LOAD_REPORT_NANOS = 1_000_000_000L;
 
     private final InstanceSettings settings;
     private final DecisionLog log;
@@ -134,6 +136,7 @@
     public void start() {
         loop.start();
         loop.execute(pools::start);
+        loop.execute(this::reportLoad);
         peers.bind(new PeerListener() {
             @Override
             public void onMessage(String from, PeerMessage message) {
@@ -164,6 +167,21 @@
         callerServer.bind(settings.callerAddress());
     }
 
+    private void reportLoad() {
+        log.write(
+                "instance.load",
+                "loop_delay_ms",
+                loop.takeMaxDelayNanos() / 1_000_000,
+                "requests",
+                instance.getActive(),
+                "peers",
+                peers.getConnectedPeers().size(),
+                "pieces_outstanding",
+                pools.getOutstandingCount());
+        TimerService timers = loop.getTimers();
+        timers.schedule(timers.now() + LOAD_REPORT_NANOS, this::reportLoad);
+    }
+
     /**
      * Adds the readiness page, which responds with 200 if the instance is ready and 503 otherwise.
      *
