Send heartbeats to waiting instances at one rate, whatever the number of connections

What callers saw: on the grown deployments, requests refused or failed from the first burst until long after it; their pieces were made twice and took the space of others. Cause: the owner of a stage service stretched the interval of its heartbeats by the number of its own connections, and the instance that waited stretched its bound for silence by the number of its own. With 76 connections an owner is silent for a second by design whenever no result falls between two heartbeats; an instance with fewer than 16 suspects it after 550 ms, disconnects and resubmits, which doubles the work and makes more owners late. Class: two sides derive one bound from different local state. Change: PeerHeartbeats keeps which instances wait for pieces here; those get a heartbeat each 200 ms, and all instances apply the same bound of 550 ms. Only heartbeats to instances that do not wait become rarer with the number of connections. Weighed: stating the interval in the heartbeat (the bound would grow to 2 s, beyond most objectives). Evidence: TestOwnerSuspicion failed before (the owner is suspected within the first second) and passes now; a call in it now takes 700 ms, not a second, since the pool retries after 760 ms, and it still failed on the code before. A real cut is still detected within a second.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -101,15 +101,6 @@
         return new StageBacklog(queue.countByRank(), usable.size(), idle);
     }
 
-    /**
-     * Checks whether any submitted piece has no result yet.
-     *
-     * @return true if there is such a piece
-     */
-    public boolean hasUnfinishedPieces() {
-        return !tasksByRequest.isEmpty();
-    }
-
     private boolean isIdle(EndpointState endpoint) {
         PieceService pieceSpec = spec;
         return pieceSpec != null && endpoints.hasIdleSlot(endpoint, pieceSpec.slots());
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -31,18 +31,8 @@
  * <p>Confined to the decision loop.
  */
 public final class StagePools {
-    /** Interval between checks for silent owners. */
-    private static final long TICK_NANOS = 100_000_000L;
-    /** Ticks between two heartbeats of an instance that owns a service; other instances rely on its backlog. */
-    private static final long OWNER_HEARTBEAT_TICKS = 2;
-    /** Ticks between two heartbeats of any other instance. */
-    private static final long NON_OWNER_HEARTBEAT_TICKS = 10;
-    /** Time without a message after which an owner is suspected; covers two heartbeats and a garbage collection. */
-    private static final long HEARTBEAT_TIMEOUT_NANOS = 550_000_000L;
     /** Connected candidates for a service's owner, overall and in the instance's zone; several can fail at once. */
     private static final int CONNECTED_OWNERS = 3;
-    /** Number of connections above which heartbeats are sent less often, to bound their cost. */
-    private static final int FULL_RATE_CONNECTIONS = 16;
 
     private final MemberTable members;
     private final PeerPort peers;
@@ -54,8 +44,8 @@
     private final Map<String, String> ownerByHandle = new HashMap<>();
     private final OwnerSelector owners;
     private final Map<String, ReportedBacklog> reportedBacklogs = new HashMap<>();
+    private final PeerHeartbeats heartbeats = new PeerHeartbeats();
     private Set<String> services = Set.of();
-    private long ticks;
     private boolean leaving;
 
     /**
@@ -76,7 +66,7 @@
 
     /** Starts heartbeats and the detection of silent owners; called once. */
     public void start() {
-        timers.schedule(timers.now() + TICK_NANOS, this::tick);
+        timers.schedule(timers.now() + PeerHeartbeats.TICK_NANOS, this::tick);
     }
 
     /**
@@ -124,7 +114,7 @@
     public void leave() {
         leaving = true;
         owners.setSelfLeaving();
-        sendHeartbeats();
+        sendHeartbeats(peers.getConnectedPeers());
         pools.values().forEach(pool -> pool.withdrawAll("instance is leaving"));
     }
 
@@ -255,6 +245,7 @@
         } else if (message instanceof PeerMessage.PiecesEnded ended) {
             ended.results().forEach(result -> onRemoteResult(from, ended.service(), result));
         } else if (message instanceof PeerMessage.CancelPieces cancel) {
+            heartbeats.onCancelled(from, cancel.requestId());
             pool(cancel.service()).cancel(cancel.requestId());
         } else if (message instanceof PeerMessage.ReleaseResults release) {
             pool(release.service()).release(release.handles());
@@ -274,13 +265,16 @@
     }
 
     private void accept(String from, PeerMessage.SubmitPieces submit) {
-        PieceListener resultSender =
-                result -> peers.send(from, new PeerMessage.PiecesEnded(submit.service(), List.of(result)));
+        PieceListener resultSender = result -> {
+            heartbeats.onEnded(from, result.id());
+            peers.send(from, new PeerMessage.PiecesEnded(submit.service(), List.of(result)));
+        };
         if (leaving || members.getMember(from) == null) {
             submit.orders()
                     .forEach(order ->
                             resultSender.onResult(PieceResult.notProduced(order.id(), PieceResult.Status.WITHDRAWN)));
         } else {
+            heartbeats.onSubmitted(from, submit.orders());
             pool(submit.service()).submit(submit.orders(), resultSender);
         }
     }
@@ -414,17 +408,13 @@
     // -----------------------------------------------------------------------
 
     private void tick() {
-        timers.schedule(timers.now() + TICK_NANOS, this::tick);
-        ticks++;
-        long slowdown = 1 + peers.getConnectedPeers().size() / FULL_RATE_CONNECTIONS;
-        if (ticks % (slowdown * (needsFrequentHeartbeats() ? OWNER_HEARTBEAT_TICKS : NON_OWNER_HEARTBEAT_TICKS)) == 0) {
-            sendHeartbeats();
-        }
-        long silenceBoundNanos = HEARTBEAT_TIMEOUT_NANOS + (slowdown - 1) * 2 * OWNER_HEARTBEAT_TICKS * TICK_NANOS;
+        timers.schedule(timers.now() + PeerHeartbeats.TICK_NANOS, this::tick);
+        sendHeartbeats(heartbeats.selectDue(
+                peers.getConnectedPeers(), services.stream().anyMatch(owners::isOwnerOf)));
         Set<String> silentOwners = new HashSet<>();
         for (SentPiece piece : outstanding.values()) {
             long lastActivityNanos = Math.max(piece.sentNanos, owners.getLastReceivedNanos(piece.owner));
-            if (timers.now() - lastActivityNanos > silenceBoundNanos) {
+            if (timers.now() - lastActivityNanos > PeerHeartbeats.SILENCE_BOUND_NANOS) {
                 silentOwners.add(piece.owner);
             }
         }
@@ -434,17 +424,14 @@
         }
     }
 
-    // Other instances resubmit their pieces elsewhere if this instance is silent.
-    private boolean needsFrequentHeartbeats() {
-        return services.stream().anyMatch(owners::isOwnerOf)
-                || pools.values().stream().anyMatch(FleetStagePool::hasUnfinishedPieces);
-    }
-
-    private void sendHeartbeats() {
+    private void sendHeartbeats(Collection<String> receivers) {
+        if (receivers.isEmpty()) {
+            return;
+        }
         Map<String, StageBacklog> backlogs = new HashMap<>();
         pools.forEach((service, pool) -> backlogs.put(service, pool.getBacklog()));
         PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(backlogs, leaving);
-        peers.getConnectedPeers().forEach(name -> peers.send(name, heartbeat));
+        receivers.forEach(name -> peers.send(name, heartbeat));
     }
 
     /** Withdraws queued pieces after a pause of the process, in which other instances may have resubmitted theirs. */
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestOwnerSuspicion.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestOwnerSuspicion.java
@@ -26,9 +26,10 @@
 /** Tests an owner that is connected to a large fleet and an instance that is connected to the owner only. */
 class TestOwnerSuspicion {
     private static final int FLEET = 76;
+    private static final int BATCH = 4;
     private static final long HOP_NANOS = 1_000_000;
 
-    private final PoolFixture fixture = new PoolFixture(4, 100, "a", "a");
+    private final PoolFixture fixture = new PoolFixture(BATCH, 100, "a", "a");
     private final Member owner = new Member("owner", 1, "a", "10.0.0.1", 7_000, 1e5);
     private final Member waiter = new Member("waiter", 1, "b", "10.0.0.2", 7_000, 1e-5);
     private final Map<String, StagePools> poolsByName = new HashMap<>();
@@ -97,32 +98,33 @@
         StagePools pools = new StagePools(members, peers, fixture.context);
         poolsByName.put(self.name(), pools);
         pools.setServices(
-                List.of(new ServiceSpec(PoolFixture.SERVICE, new PieceService(1, 2, 4, 200, 20, 100, 4_000))));
+                List.of(new ServiceSpec(PoolFixture.SERVICE, new PieceService(1, 2, BATCH, 200, 20, 100, 4_000))));
         pools.start();
     }
 
-    private void submitOnePiece() {
-        PieceOrder order = PoolFixture.order("r", 0, fixture.terms(5_000, 60_000));
-        Objects.requireNonNull(poolsByName.get(waiter.name()))
-                .submit(PoolFixture.SERVICE, List.of(order), results::add);
+    private void submitFullBatch() {
+        List<PieceOrder> orders = IntStream.range(0, BATCH)
+                .mapToObj(i -> PoolFixture.order("r", i, fixture.terms(5_000, 60_000)))
+                .toList();
+        Objects.requireNonNull(poolsByName.get(waiter.name())).submit(PoolFixture.SERVICE, orders, results::add);
     }
 
     @Test
     void waitingInstanceDoesNotSuspectOwnerWithManyConnections() {
         for (int i = 0; i < 10; i++) {
-            submitOnePiece();
-            fixture.advance(1_000);
+            submitFullBatch();
+            fixture.advance(700);
             assertThat(waiterPeers.reconnected, is(empty()));
             assertThat(fixture.calls.sent, hasSize(i + 1));
             fixture.calls.last().answerProduced();
             fixture.advance(137);
-            assertThat(results, hasSize(i + 1));
+            assertThat(results, hasSize(BATCH * (i + 1)));
         }
     }
 
     @Test
     void waitingInstanceSuspectsOwnerThatIsCutOffWithinASecond() {
-        submitOnePiece();
+        submitFullBatch();
         ownerPeers.cut = true;
         fixture.advance(1_000);
         assertThat(waiterPeers.reconnected, is(not(empty())));
@@ -131,7 +133,7 @@
     @Test
     void ownerSendsOnlyFewHeartbeatsToInstancesThatDoNotWait() {
         ownerPeers.sentByPeer.clear();
-        submitOnePiece();
+        submitFullBatch();
         fixture.advance(1_000);
         assertThat(ownerPeers.sentByPeer.get("m1"), is(lessThanOrEqualTo(1)));
     }
