Keep pieces with their slow call when no retry is allowed, and let pieces earn retries

Cause: a call over twice its expected time counts as stuck, and each of its pieces asked the retry budget at once, or failed. Pieces earned no budget, and the allowance is divided by the number of instances: the one owner that runs a service's pieces for the whole fleet had 2 retries in 10 s at 60 instances, for calls of up to 77 pieces. Class: a share of a fleet-wide allowance for a role that only one instance has. Change: a piece earns budget when it is submitted to its pool; a piece that may not be retried stays with its call and ends with it.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.fuchsiawharf.core.health.HealthPolicy;
 import org.fuchsiawharf.core.log.DecisionLog;
@@ -109,6 +111,7 @@
     @Override
     public void submit(List<PieceOrder> orders, PieceListener listener) {
         for (PieceOrder order : orders) {
+            budget.onRequest(service);
             PieceTask task = new PieceTask(order, listener, timers.now());
             tasksByRequest
                     .computeIfAbsent(order.id().requestId(), id -> new ArrayList<>())
@@ -237,12 +240,8 @@
         task.finish(result);
     }
 
-    private void retry(PieceTask task, String endpoint, boolean chargeBudget) {
-        if (task.finished) {
-            return;
-        }
-        task.failedEndpoints.add(endpoint);
-        if (task.attempts >= MAX_ATTEMPTS || (chargeBudget && !budget.trySpend(service))) {
+    private void retryOrFail(PieceTask task, String endpoint, boolean chargeBudget) {
+        if (!task.finished && !tryRetry(task, endpoint, chargeBudget)) {
             log.write(
                     "piece.failed",
                     "request",
@@ -254,11 +253,18 @@
                     "attempts",
                     task.attempts);
             finish(task, PieceResult.notProduced(task.order.id(), PieceResult.Status.FAILED));
-        } else {
-            queue.add(task);
         }
     }
 
+    private boolean tryRetry(PieceTask task, String endpoint, boolean chargeBudget) {
+        task.failedEndpoints.add(endpoint);
+        if (task.attempts >= MAX_ATTEMPTS || (chargeBudget && !budget.trySpend(service))) {
+            return false;
+        }
+        queue.add(task);
+        return true;
+    }
+
     /** One call to an endpoint, from sending until its response or failure. */
     private final class BatchCall implements PieceCalls.Listener {
         private final EndpointState endpoint;
@@ -271,8 +277,10 @@
         private final Timer abandonTimer;
         private final int queuedAtStart = queue.size();
         private final long freeBytesAtStart;
+        /** Pieces that were retried elsewhere when this call was detected as stuck. */
+        private final Set<PieceTask> retriedElsewhere = new HashSet<>();
+
         private PieceCalls.@Nullable Call call;
-        private boolean stuck;
 
         private BatchCall(EndpointState endpoint, List<PieceTask> batch, PieceService pieceSpec) {
             this.endpoint = endpoint;
@@ -372,15 +380,14 @@
         }
 
         private void finishUnlessQueued(PieceTask task, PieceResult.Status status) {
-            if (!stuck) {
+            if (!retriedElsewhere.contains(task)) {
                 finish(task, PieceResult.notProduced(task.order.id(), status));
             }
         }
 
-        // The pieces of a stuck call were already retried when it was detected as stuck.
         private void requeue(PieceTask task, boolean chargeBudget) {
-            if (!stuck) {
-                retry(task, name, chargeBudget);
+            if (!retriedElsewhere.contains(task)) {
+                retryOrFail(task, name, chargeBudget);
             }
         }
 
@@ -421,11 +428,13 @@
         }
 
         private void onStuck() {
-            stuck = true;
             log.write("stage.stuck", "service", service, "endpoint", name, "pieces", batch.size(), "expected_ms", (long)
                     (expectedNanos / NANOS_PER_MILLI));
             health.onFailure(table.getPool(service), endpoint, CallFailure.TIMEOUT, timers.now());
-            batch.forEach(task -> retry(task, name, true));
+            // A piece that may not be retried stays with this call, which may still answer.
+            batch.stream()
+                    .filter(task -> !task.finished && tryRetry(task, name, true))
+                    .forEach(retriedElsewhere::add);
             dispatch();
         }
 
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
@@ -204,6 +204,31 @@
         assertThat(fixture.count(PieceResult.Status.DONE), is(1L));
     }
 
+    @Test
+    void piecesOfOwnerWithSmallShareOfAllowanceEarnRetries() {
+        PoolFixture fixture = new PoolFixture(10, 100, "a", "b");
+        while (fixture.budget.trySpend(PoolFixture.SERVICE)) {
+            assertThat(fixture.calls.sent, is(empty()));
+        }
+        for (int i = 0; i < 10; i++) {
+            fixture.submit("r" + i, 10, fixture.terms(5_000, LONG_DEADLINE_MILLIS));
+        }
+        fixture.calls.sent.get(0).fail(CallFailure.LOST);
+        assertThat(fixture.count(PieceResult.Status.FAILED), is(0L));
+    }
+
+    @Test
+    void pieceThatStaysWithItsSlowCallEndsWithIt() {
+        PoolFixture fixture = new PoolFixture(4, 100, "a", "b");
+        while (fixture.budget.trySpend(PoolFixture.SERVICE)) {
+            assertThat(fixture.calls.sent, is(empty()));
+        }
+        fixture.submit("r", 1, fixture.terms(5_000, LONG_DEADLINE_MILLIS));
+        fixture.advance(800);
+        fixture.calls.sent.get(0).fail(CallFailure.LOST);
+        assertThat(fixture.count(PieceResult.Status.FAILED), is(1L));
+    }
+
     @Test
     void dequeuesPieceWhenSlowCallAnswers() {
         PoolFixture fixture = new PoolFixture(4, 100, "a");
