Divide the idle connections to an endpoint among the instances

Cause: a request that may not be repeated goes out on a new connection, which then stays open idle, though such a request never reuses one. Each instance kept 16 for each endpoint until the endpoint closed them; 60 instances together exceeded the maximum, and the endpoint resets whatever comes next, with its request. Class: a bound for each instance on what the whole fleet shares. Excluded: requests in flight (5 of 24 slots in use on average), connections of stage calls (closed after each call). Change: the configuration's maximum of an endpoint is known to ServiceSpec; IdleConnectionLimits gives half of it to idle connections of all instances, divided evenly, none if that is less than one each.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointCalls.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointCalls.java
@@ -33,6 +33,7 @@
      * @param inputs the handles of the results that the request needs, null if its route has no stages
      * @param stream whether the response is an event stream
      * @param repeatable whether the request may be sent again if the call fails
+     * @param maxIdleConnections the number of idle connections to the endpoint that may be kept after the call
      */
     record Terms(
             long remainingMillis,
@@ -40,7 +41,8 @@
             int rank,
             @Nullable List<String> inputs,
             boolean stream,
-            boolean repeatable) {}
+            boolean repeatable,
+            int maxIdleConnections) {}
 
     /** A call in flight. */
     interface Call {
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
@@ -3,6 +3,7 @@
 import java.util.SplittableRandom;
 
 import org.fuchsiawharf.core.health.HealthPolicy;
+import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.log.Meters;
 import org.fuchsiawharf.core.pieces.StagePools;
@@ -22,6 +23,7 @@
  * @param pools process the pieces of stages
  * @param calls sends requests to endpoints
  * @param budget limits retries
+ * @param idleConnections limits the idle connections to endpoints
  * @param admission decides which requests are admitted
  * @param timers the timer service
  * @param random the random number generator
@@ -35,6 +37,7 @@
         StagePools pools,
         EndpointCalls calls,
         SharedRetryBudget budget,
+        IdleConnectionLimits idleConnections,
         RequestAdmission admission,
         TimerService timers,
         SplittableRandom random,
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -62,6 +62,7 @@
         }
         config = next;
         statistics.clear();
+        context.idleConnections().setServices(next.getServices().values());
         context.pools().setServices(next.getServices().values());
         context.log()
                 .write(
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -246,7 +246,8 @@
                 rank,
                 inputs,
                 routedRequest.route().kind().isStream(),
-                routedRequest.route().kind().isRepeatable()));
+                routedRequest.route().kind().isRepeatable(),
+                context.idleConnections().getLimit(service)));
     }
 
     private void retryOrFail(CallFailure failure, EndpointState failedEndpoint) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 
 import org.fuchsiawharf.core.health.OutlierEjection;
+import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.log.Meters;
@@ -286,6 +287,7 @@
                 pools,
                 this::callEngine,
                 budget,
+                new IdleConnectionLimits(() -> 1),
                 admission,
                 timers,
                 instanceRandom,
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 
 import org.fuchsiawharf.core.health.OutlierEjection;
+import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.log.Meters;
@@ -74,6 +75,7 @@
                 pools,
                 calls,
                 budget,
+                new IdleConnectionLimits(() -> 1),
                 new ObjectiveAdmission(),
                 timers,
                 random,
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -42,6 +42,7 @@
     private boolean responseComplete;
     private long idleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
     private long idleSinceNanos;
+    private int maxIdleConnections;
 
     ClientConnection(HttpClient client, ResponseDecoder decoder, Channel channel) {
         this.client = client;
@@ -58,6 +59,7 @@
         next.attach(this);
         decoder.setRequestMethod(next.getMethod());
         HttpCall httpCall = next.httpCall;
+        maxIdleConnections = httpCall.maxIdleConnections();
         channel.write(httpCall.head());
         ByteBuf body = httpCall.body();
         LastHttpContent last =
@@ -89,6 +91,11 @@
         channel.config().setAutoRead(reading);
     }
 
+    /** Gets the number of idle connections to the server that may be kept after the last call. */
+    int getMaxIdleConnections() {
+        return maxIdleConnections;
+    }
+
     Channel getChannel() {
         return channel;
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/HttpCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/HttpCall.java
@@ -16,6 +16,12 @@
  * @param body the body of the request, may be empty
  * @param expectedId the request id that the response must carry, null if responses carry no id
  * @param maxIdleNanos the longest idle time of a pooled connection, in nanoseconds; 0 to open a new connection
+ * @param maxIdleConnections the number of idle connections to the server that may be kept after the call
  */
 public record HttpCall(
-        InetSocketAddress address, HttpRequest head, ByteBuf body, @Nullable String expectedId, long maxIdleNanos) {}
+        InetSocketAddress address,
+        HttpRequest head,
+        ByteBuf body,
+        @Nullable String expectedId,
+        long maxIdleNanos,
+        int maxIdleConnections) {}
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/HttpClient.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/HttpClient.java
@@ -138,10 +138,11 @@
     void addIdle(ClientConnection connection) {
         InetSocketAddress address = (InetSocketAddress) connection.getChannel().remoteAddress();
         Deque<ClientConnection> connections = idleConnections.computeIfAbsent(address, a -> new ArrayDeque<>());
-        if (connections.size() >= MAX_IDLE_PER_ADDRESS) {
+        connections.addLast(connection);
+        int limit = Math.min(MAX_IDLE_PER_ADDRESS, connection.getMaxIdleConnections());
+        while (connections.size() > limit) {
             connections.removeFirst().close();
         }
-        connections.addLast(connection);
     }
 
     void removeIdle(ClientConnection connection) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
@@ -122,7 +122,13 @@
         }
         InetSocketAddress address = new InetSocketAddress(endpoint.host(), endpoint.port());
         String id = callerRequest.headers().get(names.requestId());
-        return new HttpCall(address, endpointRequest, body, id, terms.repeatable() ? MAX_IDLE_NANOS : 0);
+        return new HttpCall(
+                address,
+                endpointRequest,
+                body,
+                id,
+                terms.repeatable() ? MAX_IDLE_NANOS : 0,
+                terms.maxIdleConnections());
     }
 
     private void copyEndToEndFields(HttpHeaders source, HttpHeaders target) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 
 import org.fuchsiawharf.core.health.OutlierEjection;
+import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.loop.TaskLoop;
@@ -119,6 +120,7 @@
                 pools,
                 calls,
                 retryBudget,
+                new IdleConnectionLimits(members::size),
                 new ObjectiveAdmission(),
                 timers,
                 random,
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -34,6 +34,9 @@
  * <p>The routes are those of the tests in core.relay: get, post, chat and verdict. Thread-safe.
  */
 final class RelayFixture implements AutoCloseable {
+    /** The maximum number of connections of each endpoint. */
+    static final int MAX_CONNECTIONS = 8;
+
     private static final int TIMEOUT_MILLIS = 10_000;
     static final CallerLimits LIMITS = new CallerLimits(8_192, 100_000, 2_000, 5_000);
 
@@ -95,7 +98,7 @@
                         route("post", RequestKind.NON_IDEMPOTENT, 1),
                         route("chat", RequestKind.RESUMABLE_STREAM, 2),
                         route("verdict", RequestKind.SINGLE_STREAM, 1)),
-                List.of(new ServiceSpec("s", null)),
+                List.of(new ServiceSpec("s", null, MAX_CONNECTIONS)),
                 Map.of("k1", new Workspace("w1", 3)),
                 LIMITS);
     }
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -21,6 +22,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
 class TestEndpointCalls {
@@ -298,4 +300,16 @@
         }
         assertThat(List.copyOf(endpoint.requests), hasSize(1));
     }
+
+    @Test
+    void idleConnectionsAfterSingleSendsStayBelowEndpointMaximum() throws Exception {
+        endpoint.then(SUCCEED);
+        int requests = 2 * RelayFixture.MAX_CONNECTIONS;
+        for (int i = 0; i < requests; i++) {
+            assertThat(send("/post/", "r" + i).status(), is(200));
+        }
+        for (int i = 0; i < requests - RelayFixture.MAX_CONNECTIONS / 2; i++) {
+            assertThat(endpoint.endedConnections.poll(10, TimeUnit.SECONDS), is(notNullValue()));
+        }
+    }
 }
