Do not take a short deadline for time that the caller has waited

Cause: the time since a caller's first attempt was inferred as the difference of its deadline from the longest one of its route. That holds only if first deadlines are alike. There callers choose between 0.855 and 1.0 of the longest, so that half of all new callers counted as returning, with up to 1.2 s of an objective of 2 s gone, and were refused. Class: a quantity inferred from a field that means something else. Change: ElapsedTimeEstimator uses the difference only while first deadlines are seen to be alike (a third of the recent ones within a quarter per cent of the longest, which returning callers never are); else every caller counts as new.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -99,7 +99,9 @@
                 ? Math.min(routedRequest.request().deadlineMillis(), route.timeoutMillis())
                 : route.timeoutMillis();
         this.deadlineNanos = arrivedNanos + Math.max(1, deadlineMillis - RESPONSE_MARGIN_MILLIS) * NANOS_PER_MILLI;
-        long elapsedMillis = statistics.elapsedMillis(routedRequest.request().deadlineMillis());
+        long elapsedMillis = statistics
+                .getElapsedTime()
+                .estimateMillis(routedRequest.request().deadlineMillis());
         this.objectiveNanos = arrivedNanos + (route.objectiveMillis() - elapsedMillis) * NANOS_PER_MILLI;
         Integer workspaceRank = routedRequest.workspace() == null
                 ? null
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RouteStatistics.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RouteStatistics.java
@@ -19,8 +19,8 @@
     private static final double BIAS_WEIGHT = 0.1;
 
     private final LatencyEstimate responseTime = new LatencyEstimate(INITIAL_RESPONSE_NANOS);
+    private final ElapsedTimeEstimator elapsedTime = new ElapsedTimeEstimator();
     private double stageBias = 1;
-    private long longestDeadlineMillis;
 
     /** Records the time from sending a request until its response or first event, in nanoseconds. */
     void onResponse(long nanos) {
@@ -45,20 +45,8 @@
         return stageBias;
     }
 
-    /**
-     * Gets the estimated time since a caller's first attempt.
-     *
-     * <p>A caller that retries sends the time left of its first deadline, so the difference from the longest deadline
-     * on this route is the time elapsed.
-     *
-     * @param deadlineMillis the deadline that the caller sent, in milliseconds; 0 if not specified
-     * @return the elapsed time, in milliseconds
-     */
-    long elapsedMillis(long deadlineMillis) {
-        if (deadlineMillis <= 0) {
-            return 0;
-        }
-        longestDeadlineMillis = Math.max(longestDeadlineMillis, deadlineMillis);
-        return longestDeadlineMillis - deadlineMillis;
+    /** Gets the estimator of the time since a caller's first attempt. */
+    ElapsedTimeEstimator getElapsedTime() {
+        return elapsedTime;
     }
 }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -104,6 +104,7 @@
 
     private final TimerService timers = new TimerService(0);
     private final SplittableRandom random;
+    private final SplittableRandom deadlineRandom;
     private final List<RequestClass> kinds;
     private final List<Stage> stages;
     private final boolean sharedPools;
@@ -115,6 +116,7 @@
     private final Map<String, OutcomeCounts> countsByKind = new TreeMap<>();
     private final Map<String, Burst> bursts = new HashMap<>();
     private int nextId;
+    private double deadlineSpread;
 
     /** A period in which the rate of one kind is multiplied by a factor. */
     private record Burst(double factor, long fromNanos, long toNanos) {
@@ -130,6 +132,7 @@
         this.sharedPools = sharedPools;
         this.admission = admission;
         this.random = new SplittableRandom(seed);
+        this.deadlineRandom = new SplittableRandom(seed + 1);
     }
 
     /** Runs the simulation at a multiple of the usual rates and returns the counts by kind. */
@@ -166,6 +169,12 @@
         return this;
     }
 
+    /** Shortens the deadline of each caller by a random share of the route's timeout, up to the given one. */
+    FleetSimulation spreadDeadlines(double maxShare) {
+        deadlineSpread = maxShare;
+        return this;
+    }
+
     @Override
     public String toString() {
         return (sharedPools ? "pooled, " : "each for itself, ")
@@ -192,14 +201,17 @@
 
     private void onArrival(RequestClass kind) {
         Objects.requireNonNull(countsByKind.get(kind.route().name())).offered++;
-        sendRequest(kind, timers.now(), kind.pieces().apply(random), true);
+        long timeoutMillis = kind.route().timeoutMillis();
+        long deadlineMillis = timeoutMillis - (long) (timeoutMillis * deadlineSpread * deadlineRandom.nextDouble());
+        sendRequest(kind, timers.now(), deadlineMillis, kind.pieces().apply(random), true);
     }
 
     /** Sends a request, and retries it once if the refusal carries a retry delay, as callers do. */
-    private void sendRequest(RequestClass kind, long arrivedNanos, List<Integer> pieces, boolean firstAttempt) {
+    private void sendRequest(
+            RequestClass kind, long arrivedNanos, long deadlineMillis, List<Integer> pieces, boolean firstAttempt) {
         OutcomeCounts counts =
                 Objects.requireNonNull(countsByKind.get(kind.route().name()));
-        long remainingMillis = kind.route().timeoutMillis() - (timers.now() - arrivedNanos) / MILLI;
+        long remainingMillis = deadlineMillis - (timers.now() - arrivedNanos) / MILLI;
         RelayRequest request = new RelayRequest(
                 "r" + nextId++,
                 kind.route().host(),
@@ -215,7 +227,8 @@
                 if (firstAttempt && refusal.retryAfterMillis() > 0) {
                     long delayMillis = Math.min(refusal.retryAfterMillis(), remainingMillis / 3);
                     timers.schedule(
-                            timers.now() + delayMillis * MILLI, () -> sendRequest(kind, arrivedNanos, pieces, false));
+                            timers.now() + delayMillis * MILLI,
+                            () -> sendRequest(kind, arrivedNanos, deadlineMillis, pieces, false));
                 } else {
                     counts.refusedOrAborted++;
                     counts.refusedAfterRetry += firstAttempt ? 0 : 1;
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestFleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestFleetSimulation.java
@@ -28,6 +28,7 @@
 class TestFleetSimulation {
     private static final int INSTANCES = 9;
     private static final long SECONDS = 40;
+    private static final double DEADLINE_SPREAD = 0.15;
     // The counts of several seeds are added: shares of single runs of 40 s differ by some hundredths, since refusals
     // shift the later arrivals.
     private static final List<Long> SEEDS = List.of(11L, 12L, 13L, 14L);
@@ -163,6 +164,29 @@
                 is(greaterThan(0.94)));
     }
 
+    @Test
+    void admitsCallersWithShorterDeadlinesAtUsualLoad() {
+        for (List<FleetSimulation.RequestClass> kinds : List.of(coaching(), bearings())) {
+            List<FleetSimulation.Stage> stages = kinds.get(0).perSecond() == 6.5 ? COACHING_STAGES : BEARING_STAGES;
+            assertThat(
+                    lowestOnTimeShare(run(
+                            seed -> new FleetSimulation(kinds, stages, true, new ObjectiveAdmission(), seed)
+                                    .spreadDeadlines(DEADLINE_SPREAD),
+                            1)),
+                    is(greaterThan(0.94)));
+        }
+    }
+
+    @Test
+    void keepsUrgentKindsOnTimeBeyondCapacityIfDeadlinesDiffer() {
+        Map<String, FleetSimulation.OutcomeCounts> countsByKind = run(
+                seed -> new FleetSimulation(coaching(), COACHING_STAGES, true, new ObjectiveAdmission(), seed)
+                        .spreadDeadlines(DEADLINE_SPREAD),
+                2.5);
+        assertThat(onTimeShare(countsByKind, "advice"), is(greaterThan(0.85)));
+        assertThat(onTimeShare(countsByKind, "dossier"), is(greaterThan(0.85)));
+    }
+
     @Test
     void servesOneAndAHalfTimesUsualLoadOnlyWithPooling() {
         for (boolean pooled : new boolean[] {true, false}) {
