Report the results of one call to each instance in one message

What operators saw: the owner of billing-ledger sends 1,500 messages a second for 1,500 pieces, each a system call and some 150 bytes with its headers, on instances of 0.36 cores and 7 Mbit/s; heartbeats share that link. Cause: each result was sent alone, though up to 77 come with one answer, for some 8 requests. Change: a pool delivers the results of one call together to each listener, and the remote one sends one message.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -43,7 +44,6 @@
     private static final double NOMINAL_CALL_NANOS = 100e6;
 
     private static final double NANOS_PER_MILLI = 1e6;
-    private static final double BYTES_PER_MB = 1e6;
 
     private final String service;
     private final EndpointTable table;
@@ -99,13 +99,12 @@
      */
     public StageBacklog getBacklog() {
         List<EndpointState> usable = endpoints.getUsable();
-        int idle = (int) usable.stream().filter(this::isIdle).count();
-        return new StageBacklog(queue.countByRank(), usable.size(), idle);
+        long idle = usable.stream().filter(this::isIdle).count();
+        return new StageBacklog(queue.countByRank(), usable.size(), (int) idle);
     }
 
     private boolean isIdle(EndpointState endpoint) {
-        PieceService pieceSpec = spec;
-        return pieceSpec != null && endpoints.hasIdleSlot(endpoint, pieceSpec.slots());
+        return spec != null && endpoints.hasIdleSlot(endpoint, spec.slots());
     }
 
     @Override
@@ -125,7 +124,7 @@
     public void cancel(String requestId) {
         List<PieceTask> tasks = tasksByRequest.remove(requestId);
         if (tasks != null) {
-            tasks.forEach(PieceTask::cancel);
+            tasks.forEach(PieceTask::finishSilently);
             queue.removeIf(task -> task.finished, task -> {});
         }
     }
@@ -197,7 +196,7 @@
                 endpoint.getEndpoint().name(),
                 endpoint.getEndpoint().zone(),
                 pieceSpec.batch(),
-                freeBytes(endpoint, pieceSpec),
+                foreignSpace.estimateFreeBytes(endpoint.getEndpoint(), pieceSpec.resultSpaceBytes()),
                 (long) (pieceSpec.callMillisFor(1) * NANOS_PER_MILLI));
         return queue.take(
                 offer,
@@ -206,17 +205,6 @@
                 usable.stream().map(e -> e.getEndpoint().name()).toList());
     }
 
-    private long freeBytes(EndpointState endpoint, PieceService pieceSpec) {
-        long capacity = capacityBytes(pieceSpec);
-        return capacity
-                - resultSpace.getUsedBytes(endpoint.getEndpoint().name(), timers.now())
-                - foreignSpace.estimateAndRefresh(endpoint.getEndpoint(), capacity);
-    }
-
-    private static long capacityBytes(PieceService pieceSpec) {
-        return (long) (pieceSpec.resultSpaceMb() * BYTES_PER_MB);
-    }
-
     // -----------------------------------------------------------------------
 
     private void start(EndpointState endpoint, List<PieceTask> batch, PieceService pieceSpec) {
@@ -230,6 +218,11 @@
     }
 
     private void finish(PieceTask task, PieceResult result) {
+        removeTask(task);
+        task.finish(result);
+    }
+
+    private void removeTask(PieceTask task) {
         List<PieceTask> tasks = tasksByRequest.get(task.order.id().requestId());
         if (tasks != null) {
             tasks.remove(task);
@@ -237,7 +230,6 @@
                 tasksByRequest.remove(task.order.id().requestId());
             }
         }
-        task.finish(result);
     }
 
     private void retryOrFail(PieceTask task, String endpoint, boolean chargeBudget) {
@@ -288,7 +280,8 @@
             this.batch = batch;
             this.pieceSpec = pieceSpec;
             this.expectedNanos = pieceSpec.callMillisFor(batch.size()) * NANOS_PER_MILLI;
-            this.freeBytesAtStart = freeBytes(endpoint, pieceSpec);
+            this.freeBytesAtStart =
+                    foreignSpace.estimateFreeBytes(endpoint.getEndpoint(), pieceSpec.resultSpaceBytes());
             this.stuckTimer = timers.schedule(
                     sentNanos + (long) (STUCK_FACTOR * expectedNanos) + STUCK_SLACK_NANOS, this::onStuck);
             this.abandonTimer = timers.schedule(sentNanos + (long) (ABANDON_FACTOR * expectedNanos), this::onAbandoned);
@@ -334,13 +327,16 @@
                     queuedAtStart,
                     "free_bytes_at_start",
                     freeBytesAtStart);
+            Map<PieceListener, List<PieceResult>> produced = new LinkedHashMap<>();
             for (int i = 0; i < batch.size(); i++) {
-                onPieceAnswered(batch.get(i), answers.get(i));
+                onPieceAnswered(batch.get(i), answers.get(i), produced);
             }
+            produced.forEach(PieceListener::onResults);
             dispatch();
         }
 
-        private void onPieceAnswered(PieceTask task, PieceCalls.Answer answer) {
+        private void onPieceAnswered(
+                PieceTask task, PieceCalls.Answer answer, Map<PieceListener, List<PieceResult>> produced) {
             long bytes = task.order.terms().resultBytes();
             if (answer.kind() == PieceCalls.AnswerKind.PRODUCED) {
                 long expires = timers.now() + pieceSpec.resultTtlMillis() * 1_000_000L;
@@ -349,7 +345,10 @@
                     release(List.of(answer.handle()));
                 } else {
                     queue.removeIf(other -> other == task, other -> {});
-                    finish(task, PieceResult.done(task.order.id(), answer.handle()));
+                    removeTask(task);
+                    task.finishSilently();
+                    produced.computeIfAbsent(task.listener, l -> new ArrayList<>())
+                            .add(PieceResult.done(task.order.id(), answer.handle()));
                 }
                 return;
             }
@@ -368,7 +367,7 @@
                             bytes,
                             "believed_used",
                             resultSpace.getUsedBytes(name, timers.now()));
-                    foreignSpace.onNoSpace(endpoint.getEndpoint(), capacityBytes(pieceSpec));
+                    foreignSpace.onNoSpace(endpoint.getEndpoint(), pieceSpec.resultSpaceBytes());
                     task.attempts--;
                     requeue(task, false);
                 }
@@ -439,9 +438,8 @@
         }
 
         private void onAbandoned() {
-            PieceCalls.Call openCall = call;
-            if (openCall != null) {
-                openCall.cancel();
+            if (call != null) {
+                call.cancel();
             }
             onFailed(CallFailure.TIMEOUT, "no response within the time limit of the call");
         }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ForeignSpaceEstimator.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ForeignSpaceEstimator.java
@@ -63,8 +63,7 @@
         this.onReport = onReport;
     }
 
-    /** Gets the estimated bytes of foreign results at an endpoint; requests a new report if the last is outdated. */
-    long estimateAndRefresh(Endpoint endpoint, long capacityBytes) {
+    private long estimateAndRefresh(Endpoint endpoint, long capacityBytes) {
         Estimate estimate = estimateByEndpoint.get(endpoint.name());
         if (estimate == null) {
             return 0;
@@ -80,6 +79,13 @@
         return used;
     }
 
+    /** Gets the estimated free bytes at an endpoint; requests a new report if the last is outdated. */
+    long estimateFreeBytes(Endpoint endpoint, long capacityBytes) {
+        return capacityBytes
+                - ownSpace.getUsedBytes(endpoint.name(), timers.now())
+                - estimateAndRefresh(endpoint, capacityBytes);
+    }
+
     private long estimateUsedBytes(Estimate estimate, Endpoint endpoint, long capacityBytes) {
         long age = timers.now() - estimate.assumedAtNanos;
         long assumed = (long) (estimate.assumedBytes * Math.pow(0.5, age / HALF_LIFE_NANOS));
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceListener.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceListener.java
@@ -1,5 +1,7 @@
 package org.fuchsiawharf.core.pieces;
 
+import java.util.List;
+
 /**
  * Receives the results of pieces.
  *
@@ -13,4 +15,13 @@
      * @param result the result, not null
      */
     void onResult(PieceResult result);
+
+    /**
+     * Called in place of {@link #onResult} with the results that one call to an endpoint produced for this listener.
+     *
+     * @param results the results, not null
+     */
+    default void onResults(List<PieceResult> results) {
+        results.forEach(this::onResult);
+    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceTask.java
@@ -19,7 +19,7 @@
     int attempts;
     boolean finished;
 
-    private final PieceListener listener;
+    final PieceListener listener;
 
     PieceTask(PieceOrder order, PieceListener listener, long queuedNanos) {
         this.order = order;
@@ -36,7 +36,7 @@
     }
 
     /** Finishes the piece without notifying its listener. */
-    void cancel() {
+    void finishSilently() {
         finished = true;
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -265,10 +265,7 @@
     }
 
     private void accept(String from, PeerMessage.SubmitPieces submit) {
-        PieceListener resultSender = result -> {
-            heartbeats.onEnded(from, result.id());
-            peers.send(from, new PeerMessage.PiecesEnded(submit.service(), List.of(result)));
-        };
+        PieceListener resultSender = new RemoteResultSender(from, submit.service(), peers, heartbeats);
         if (leaving || members.getMember(from) == null) {
             submit.orders()
                     .forEach(order ->
--- a/core/src/main/java/org/fuchsiawharf/core/route/PieceService.java
+++ b/core/src/main/java/org/fuchsiawharf/core/route/PieceService.java
@@ -23,6 +23,8 @@
         double itemMillis,
         double resultSpaceMb,
         long resultTtlMillis) {
+    private static final double BYTES_PER_MB = 1e6;
+
     /** Validates the capacity and the times. */
     public PieceService {
         Arguments.between(slots, 1, Integer.MAX_VALUE, "slots");
@@ -41,6 +43,15 @@
         return callMillis + pieces * itemMillis;
     }
 
+    /**
+     * Gets the memory for results.
+     *
+     * @return the memory of one endpoint, in bytes
+     */
+    public long resultSpaceBytes() {
+        return (long) (resultSpaceMb * BYTES_PER_MB);
+    }
+
     /**
      * Gets the maximum throughput of one endpoint, which it reaches with full batches.
      *
