Add an instance's own delay to the bound for the silence of an owner

What callers would see: as with the false suspicion of owners, on an instance that was itself without processor for half a second: its timers run before the messages that arrived meanwhile, and it takes the owner for silent. Cause: the silence of another is measured with one's own delay in it; the same class as the two bounds for one interval. Change: the bound grows by the lateness of the tick. The results' owners move to a class of their own. Evidence: TestOwnerSuspicion.delayedInstanceDoesNotTakeItsOwnDelayForSilence failed before (owner suspected after a pause of 900 ms) and passes; in the same test an owner that is then cut off is suspected within a second.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -41,7 +41,7 @@
     private final DecisionLog log;
     private final Map<String, FleetStagePool> pools = new HashMap<>();
     private final Map<PieceId, SentPiece> outstanding = new LinkedHashMap<>();
-    private final Map<String, String> ownerByHandle = new HashMap<>();
+    private final ResultOwners resultOwners = new ResultOwners();
     private final OwnerSelector owners;
     private final Map<String, ReportedBacklog> reportedBacklogs = new HashMap<>();
     private final PeerHeartbeats heartbeats = new PeerHeartbeats();
@@ -66,7 +66,7 @@
 
     /** Starts heartbeats and the detection of silent owners; called once. */
     public void start() {
-        timers.schedule(timers.now() + PeerHeartbeats.TICK_NANOS, this::tick);
+        scheduleTick();
     }
 
     /**
@@ -162,14 +162,7 @@
      * @param handles the handles of the results, not null
      */
     public void release(String service, List<String> handles) {
-        Map<String, List<String>> byOwner = new HashMap<>();
-        for (String handle : handles) {
-            String owner = ownerByHandle.remove(handle);
-            if (owner != null) {
-                byOwner.computeIfAbsent(owner, o -> new ArrayList<>()).add(handle);
-            }
-        }
-        byOwner.forEach((owner, list) -> {
+        resultOwners.removeByOwner(handles).forEach((owner, list) -> {
             if (owner.equals(members.getSelf().name())) {
                 pool(service).release(list);
             } else if (!peers.send(owner, new PeerMessage.ReleaseResults(service, list))) {
@@ -358,7 +351,7 @@
 
     private void deliver(SentPiece piece, String owner, PieceResult result) {
         if (result.status() == PieceResult.Status.DONE) {
-            ownerByHandle.put(result.handle(), owner);
+            resultOwners.add(result.handle(), owner);
         }
         piece.listener.onResult(result);
     }
@@ -404,14 +397,21 @@
 
     // -----------------------------------------------------------------------
 
-    private void tick() {
-        timers.schedule(timers.now() + PeerHeartbeats.TICK_NANOS, this::tick);
+    private void scheduleTick() {
+        long dueNanos = timers.now() + PeerHeartbeats.TICK_NANOS;
+        timers.schedule(dueNanos, () -> tick(timers.now() - dueNanos));
+    }
+
+    private void tick(long lateNanos) {
+        scheduleTick();
         sendHeartbeats(heartbeats.selectDue(
                 peers.getConnectedPeers(), services.stream().anyMatch(owners::isOwnerOf)));
+        // Messages that arrived while this loop was late are processed after this tick.
+        long boundNanos = PeerHeartbeats.SILENCE_BOUND_NANOS + lateNanos;
         Set<String> silentOwners = new HashSet<>();
         for (SentPiece piece : outstanding.values()) {
             long lastActivityNanos = Math.max(piece.sentNanos, owners.getLastReceivedNanos(piece.owner));
-            if (timers.now() - lastActivityNanos > PeerHeartbeats.SILENCE_BOUND_NANOS) {
+            if (timers.now() - lastActivityNanos > boundNanos) {
                 silentOwners.add(piece.owner);
             }
         }
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestOwnerSuspicion.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestOwnerSuspicion.java
@@ -122,6 +122,17 @@
         }
     }
 
+    @Test
+    void delayedInstanceDoesNotTakeItsOwnDelayForSilence() {
+        submitFullBatch();
+        fixture.advance(300);
+        fixture.timers.advance(fixture.timers.now() + 900 * PoolFixture.MILLI);
+        assertThat(waiterPeers.reconnected, is(empty()));
+        ownerPeers.cut = true;
+        fixture.advance(1_000);
+        assertThat(waiterPeers.reconnected, is(not(empty())));
+    }
+
     @Test
     void waitingInstanceSuspectsOwnerThatIsCutOffWithinASecond() {
         submitFullBatch();
