--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/OutstandingPieces.java
@@ -0,0 +1,78 @@
+package org.fuchsiawharf.core.pieces;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The pieces that other instances run for this one.
+ *
+ * <p>Confined to the decision loop.
+ */
+final class OutstandingPieces {
+    private final Map<PieceId, SentPiece> pieces = new LinkedHashMap<>();
+
+    void add(SentPiece piece) {
+        pieces.put(piece.order.id(), piece);
+    }
+
+    @Nullable
+    SentPiece get(PieceId id) {
+        return pieces.get(id);
+    }
+
+    void remove(PieceId id) {
+        pieces.remove(id);
+    }
+
+    int size() {
+        return pieces.size();
+    }
+
+    long countAt(String owner) {
+        return pieces.values().stream()
+                .filter(piece -> piece.owner.equals(owner))
+                .count();
+    }
+
+    /** Removes the pieces of a request and returns the names of the instances that run them. */
+    Set<String> removeRequest(String service, String requestId) {
+        Set<String> owners = new HashSet<>();
+        removeIf(piece -> piece.service.equals(service)
+                        && piece.order.id().requestId().equals(requestId))
+                .values()
+                .forEach(list -> list.forEach(piece -> owners.add(piece.owner)));
+        return owners;
+    }
+
+    /** Removes all matching pieces and returns them by service. */
+    Map<String, List<SentPiece>> removeIf(Predicate<SentPiece> condition) {
+        Map<String, List<SentPiece>> removed = new HashMap<>();
+        pieces.values().removeIf(piece -> {
+            boolean matches = condition.test(piece);
+            if (matches) {
+                removed.computeIfAbsent(piece.service, s -> new ArrayList<>()).add(piece);
+            }
+            return matches;
+        });
+        return removed;
+    }
+
+    /** Finds the instances that run a piece and from which no message has arrived since the given time. */
+    Set<String> findSilentOwners(OwnerSelector owners, long sinceNanos) {
+        Set<String> silentOwners = new HashSet<>();
+        for (SentPiece piece : pieces.values()) {
+            if (Math.max(piece.sentNanos, owners.getLastReceivedNanos(piece.owner)) < sinceNanos) {
+                silentOwners.add(piece.owner);
+            }
+        }
+        return silentOwners;
+    }
+}
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -40,7 +40,7 @@
     private final TimerService timers;
     private final DecisionLog log;
     private final Map<String, FleetStagePool> pools = new HashMap<>();
-    private final Map<PieceId, SentPiece> outstanding = new LinkedHashMap<>();
+    private final OutstandingPieces outstanding = new OutstandingPieces();
     private final ResultOwners resultOwners = new ResultOwners();
     private final OwnerSelector owners;
     private final Map<String, ReportedBacklog> reportedBacklogs = new HashMap<>();
@@ -142,16 +142,9 @@
      * @param requestId the request's id, not null
      */
     public void cancel(String service, String requestId) {
-        Set<String> owners = new HashSet<>();
-        outstanding.values().removeIf(o -> {
-            boolean matches =
-                    o.service.equals(service) && o.order.id().requestId().equals(requestId);
-            if (matches) {
-                owners.add(o.owner);
-            }
-            return matches;
-        });
-        owners.forEach(owner -> peers.send(owner, new PeerMessage.CancelPieces(service, requestId)));
+        outstanding
+                .removeRequest(service, requestId)
+                .forEach(owner -> peers.send(owner, new PeerMessage.CancelPieces(service, requestId)));
         pool(service).cancel(requestId);
     }
 
@@ -331,7 +324,7 @@
             pieces.forEach(piece -> piecesById.put(piece.order.id(), piece));
             pool(service).submit(orders, result -> onOwnResult(piecesById.get(result.id()), result));
         } else if (peers.send(owner, new PeerMessage.SubmitPieces(service, orders))) {
-            pieces.forEach(piece -> outstanding.put(piece.order.id(), piece));
+            pieces.forEach(outstanding::add);
         } else {
             suspect(owner, "not connected");
             send(service, pieces);
@@ -365,7 +358,7 @@
                     "reason",
                     reason,
                     "pieces",
-                    countOutstandingAt(member),
+                    outstanding.countAt(member),
                     "last_received_ms_ago",
                     (timers.now() - owners.getLastReceivedNanos(member)) / 1_000_000,
                     "peers",
@@ -375,26 +368,12 @@
     }
 
     private void resubmitWhere(Predicate<SentPiece> condition, String reason) {
-        Map<String, List<SentPiece>> piecesByService = new HashMap<>();
-        outstanding.values().removeIf(piece -> {
-            boolean matches = condition.test(piece);
-            if (matches) {
-                piecesByService
-                        .computeIfAbsent(piece.service, s -> new ArrayList<>())
-                        .add(piece);
-            }
-            return matches;
-        });
-        piecesByService.forEach((service, pieces) -> {
+        outstanding.removeIf(condition).forEach((service, pieces) -> {
             log.write("pieces.resubmitted", "service", service, "pieces", pieces.size(), "reason", reason);
             send(service, pieces);
         });
     }
 
-    private long countOutstandingAt(String member) {
-        return outstanding.values().stream().filter(o -> o.owner.equals(member)).count();
-    }
-
     // -----------------------------------------------------------------------
 
     private void scheduleTick() {
@@ -408,13 +387,7 @@
                 peers.getConnectedPeers(), services.stream().anyMatch(owners::isOwnerOf)));
         // Messages that arrived while this loop was late are processed after this tick.
         long boundNanos = PeerHeartbeats.SILENCE_BOUND_NANOS + lateNanos;
-        Set<String> silentOwners = new HashSet<>();
-        for (SentPiece piece : outstanding.values()) {
-            long lastActivityNanos = Math.max(piece.sentNanos, owners.getLastReceivedNanos(piece.owner));
-            if (timers.now() - lastActivityNanos > boundNanos) {
-                silentOwners.add(piece.owner);
-            }
-        }
+        Set<String> silentOwners = outstanding.findSilentOwners(owners, timers.now() - boundNanos);
         for (String member : silentOwners) {
             suspect(member, "silent");
             peers.reconnect(member);
