--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -253,6 +253,8 @@
     private void accept(String from, PeerMessage.SubmitPieces submit) {
         PieceListener resultSender = new RemoteResultSender(from, submit.service(), peers, heartbeats);
         if (leaving || members.getMember(from) == null) {
+            String reason = leaving ? "instance is leaving" : "not a member";
+            log.write("pieces.rejected", "peer", from, "service", submit.service(), "reason", reason);
             submit.orders()
                     .forEach(order ->
                             resultSender.onResult(PieceResult.notProduced(order.id(), PieceResult.Status.WITHDRAWN)));
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -161,6 +161,7 @@
                 context.pools(),
                 timers,
                 createSchedule(endpoint.getEndpoint().zone(), stageEstimate),
+                stageEstimate.endMillis(),
                 this);
         stageRun = run;
         run.start();
@@ -354,7 +355,13 @@
         context.meters().count("requests", outcome);
         context.meters().time("request_seconds", routedRequest.route().name(), elapsedNanos);
         RequestDecisionLog.Ending ending = new RequestDecisionLog.Ending(
-                outcome, elapsedNanos, stagesNanos, deadlineNanos - timers.now(), attemptResults, retryAfterMillis);
+                outcome,
+                elapsedNanos,
+                stagesNanos,
+                stageRun == null ? "" : stageRun.describeEnds(),
+                deadlineNanos - timers.now(),
+                attemptResults,
+                retryAfterMillis);
         RequestDecisionLog.writeEnding(context.log(), routedRequest, ending);
         onEnd.run();
     }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
@@ -20,6 +20,7 @@
      * @param outcome the outcome for the caller
      * @param tookNanos the time since arrival, in nanoseconds
      * @param stagesNanos the time from arrival until the stages were done, in nanoseconds; 0 if they were not done
+     * @param stageEnds the expected and the actual end of each stage that was done, see {@link StageRun#describeEnds}
      * @param leftNanos the time left until the deadline, in nanoseconds
      * @param attempts the endpoint, result and duration of each attempt
      * @param retryAfterMillis the delay after which the caller should retry, in milliseconds; 0 if not specified
@@ -28,6 +29,7 @@
             String outcome,
             long tookNanos,
             long stagesNanos,
+            String stageEnds,
             long leftNanos,
             List<String> attempts,
             long retryAfterMillis) {}
@@ -80,6 +82,8 @@
                 ending.tookNanos() / NANOS_PER_MILLI,
                 "stages_ms",
                 ending.stagesNanos() / NANOS_PER_MILLI,
+                "stage_ends",
+                ending.stageEnds(),
                 "left_ms",
                 ending.leftNanos() / NANOS_PER_MILLI,
                 "sends",
--- a/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.fuchsiawharf.core.pieces.PieceId;
@@ -31,12 +32,16 @@
     /** Maximum number of recomputations of lost results per request; a chain of stages may need one for each stage. */
     private static final int MAX_RECOMPUTATIONS = 4;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final RelayRequest request;
     private final Route route;
     private final StagePools pools;
     private final TimerService timers;
     private final Schedule schedule;
+    private final List<Double> expectedEndMillis;
     private final Callbacks callbacks;
+    private final long createdNanos;
     private final StageState[] stages;
     private int recomputations;
     private boolean readyReported;
@@ -77,6 +82,7 @@
         private final boolean[] submitted;
         private boolean released;
         private boolean startScheduled;
+        private long doneNanos;
 
         private StageState(int pieces) {
             handles = new String[pieces];
@@ -111,12 +117,15 @@
             StagePools pools,
             TimerService timers,
             Schedule schedule,
+            List<Double> expectedEndMillis,
             Callbacks callbacks) {
         this.request = request;
         this.route = route;
         this.pools = pools;
         this.timers = timers;
         this.schedule = schedule;
+        this.expectedEndMillis = expectedEndMillis;
+        this.createdNanos = timers.now();
         this.callbacks = callbacks;
         this.stages = new StageState[route.stages().size()];
         for (int i = 0; i < stages.length; i++) {
@@ -147,6 +156,19 @@
         }
     }
 
+    /**
+     * Describes the stages that are done for the log, separated by spaces, in the form SERVICE:EXPECTED/ACTUAL; both
+     * are milliseconds from the creation of this run to the end of the stage.
+     */
+    String describeEnds() {
+        return IntStream.range(0, stages.length)
+                .filter(i -> stages[i].doneNanos > 0)
+                .mapToObj(i -> String.format(
+                        "%s:%.0f/%d",
+                        serviceOf(i), expectedEndMillis.get(i), (stages[i].doneNanos - createdNanos) / NANOS_PER_MILLI))
+                .collect(Collectors.joining(" "));
+    }
+
     /**
      * Recomputes the results of the terminal stages after an endpoint reported them missing.
      *
@@ -237,6 +259,7 @@
         if (result.status() == PieceResult.Status.DONE) {
             stages[stage].handles[result.id().piece()] = result.handle();
             if (stages[stage].isDone()) {
+                stages[stage].doneNanos = timers.now();
                 releaseInputsOf(stage);
                 advance();
             }
