--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -91,8 +91,19 @@
         onMembersChanged();
     }
 
-    /** Connects to the owners and resubmits pieces of removed members; called when members have changed. */
-    public void onMembersChanged() {
+    /**
+     * Applies a list of the live instances.
+     *
+     * @param listed every live instance; an entry with the name of this instance is ignored; not null
+     */
+    public void setMembers(Collection<Member> listed) {
+        if (members.replace(listed)) {
+            log.write("members.changed", "members", members.size());
+            onMembersChanged();
+        }
+    }
+
+    private void onMembersChanged() {
         Set<Member> membersToConnect = new HashSet<>();
         for (String service : services) {
             List<Member> ranked = members.rankOwners(service);
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -252,10 +252,7 @@
      * @param live the members, not null
      */
     public void setMembers(Collection<Member> live) {
-        if (members.replace(live)) {
-            log.write("members.changed", "members", members.size());
-            pools.onMembersChanged();
-        }
+        pools.setMembers(live);
     }
 
     /**
