Keep instances as members while they are heard, whatever their leases

Cause: an instance was alive for its peers only by its lease at the store. One that only the store could not reach was removed from the members, its pieces were given back as those of a stranger, and it became an owner of its own: 21 to 28 owners in place of one for endpoints with one slot. The class: the state of one dependency taken for that of another. Change: LiveMembers keeps an instance that the store no longer lists while its connection is open, it was heard within 6 s and it does not leave; heartbeats to any instance are at most 5 s apart. Pieces are taken from any connected instance, so that those that start one after the other use the same owner. Why it works: only reachability between the two counts for handing over pieces, and every instance is connected to the first three candidates, so that all rank the same owner first.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
@@ -82,6 +82,10 @@
         return peer(member).lastReceivedNanos;
     }
 
+    boolean isLeaving(String member) {
+        return peer(member).leaving;
+    }
+
     // -----------------------------------------------------------------------
 
     void onReceived(String member) {
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PeerHeartbeats.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PeerHeartbeats.java
@@ -14,7 +14,8 @@
  * <p>An instance that waits suspects this one after {@link #SILENCE_BOUND_NANOS} without a message. It is therefore
  * sent a heartbeat every second tick, however many connections this instance has: both sides rely on the constants of
  * this class alone, never on state that the other side does not see. An instance that does not wait needs only the
- * backlogs; its heartbeats become less frequent with the number of connections, to bound their cost.
+ * backlogs; its heartbeats become less frequent with the number of connections, to bound their cost, down to one in
+ * {@link #MAX_TICKS} ticks.
  *
  * <p>Confined to the decision loop.
  */
@@ -23,7 +24,11 @@
     static final long TICK_NANOS = 100_000_000L;
     /** Time without a message after which a waiting instance suspects an owner; covers two heartbeats and a pause. */
     static final long SILENCE_BOUND_NANOS = 550_000_000L;
+    /** Time without a message after which an instance that the store no longer lists is taken to be down. */
+    static final long LIVENESS_BOUND_NANOS = 6_000_000_000L;
 
+    /** Maximum ticks between two heartbeats to any instance; less than the liveness bound. */
+    private static final long MAX_TICKS = 50;
     /** Ticks between two heartbeats to an instance that waits for pieces. */
     private static final long WAITING_TICKS = 2;
     /** Ticks between two heartbeats of an owner to an instance that does not wait; it relies on the backlogs. */
@@ -66,7 +71,8 @@
     List<String> selectDue(Collection<String> connected, boolean ownsService) {
         ticks++;
         long slowdown = 1 + connected.size() / FULL_RATE_CONNECTIONS;
-        boolean dueToAll = ticks % (slowdown * (ownsService ? OWNER_TICKS : NON_OWNER_TICKS)) == 0;
+        long intervalTicks = Math.min(MAX_TICKS, slowdown * (ownsService ? OWNER_TICKS : NON_OWNER_TICKS));
+        boolean dueToAll = ticks % intervalTicks == 0;
         boolean dueToWaiting = ticks % WAITING_TICKS == 0;
         return connected.stream()
                 .filter(peer -> dueToAll || (dueToWaiting && unfinishedByPeer.containsKey(peer)))
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -43,6 +43,7 @@
     private final OutstandingPieces outstanding = new OutstandingPieces();
     private final ResultOwners resultOwners = new ResultOwners();
     private final OwnerSelector owners;
+    private final LiveMembers liveMembers;
     private final Map<String, ReportedBacklog> reportedBacklogs = new HashMap<>();
     private final PeerHeartbeats heartbeats = new PeerHeartbeats();
     private Set<String> services = Set.of();
@@ -61,7 +62,8 @@
         this.context = context;
         this.timers = context.timers();
         this.log = context.log();
-        this.owners = new OwnerSelector(members, peers, context.timers());
+        this.owners = new OwnerSelector(members, peers, timers);
+        this.liveMembers = new LiveMembers(members, peers, owners, timers);
     }
 
     /** Starts heartbeats and the detection of silent owners; called once. */
@@ -88,7 +90,7 @@
             }
         });
         services = stageServices;
-        onMembersChanged();
+        connectToOwners();
     }
 
     /**
@@ -97,13 +99,19 @@
      * @param listed every live instance; an entry with the name of this instance is ignored; not null
      */
     public void setMembers(Collection<Member> listed) {
-        if (members.replace(listed)) {
-            log.write("members.changed", "members", members.size());
+        if (liveMembers.setListed(listed)) {
             onMembersChanged();
         }
     }
 
     private void onMembersChanged() {
+        log.write("members.changed", "members", members.size());
+        connectToOwners();
+        owners.onMembersChanged();
+        resubmitWhere(o -> members.getMember(o.owner) == null, "owner is no longer a member");
+    }
+
+    private void connectToOwners() {
         Set<Member> membersToConnect = new HashSet<>();
         for (String service : services) {
             List<Member> ranked = members.rankOwners(service);
@@ -112,8 +120,6 @@
         }
         membersToConnect.remove(members.getSelf());
         peers.setDesiredPeers(membersToConnect);
-        owners.onMembersChanged();
-        resubmitWhere(o -> members.getMember(o.owner) == null, "owner is no longer a member");
     }
 
     /** Dispatches queued pieces; called when endpoints have changed. */
@@ -228,14 +234,6 @@
      * @param message the message, not null
      */
     public void onMessage(String from, PeerMessage message) {
-        if (members.getMember(from) == null) {
-            context.meters().count("peer_frames_dropped", "stranger");
-            if (message instanceof PeerMessage.SubmitPieces submit) {
-                // Withdraws the pieces of a sender that is not yet or no longer a member, so that it resubmits at once.
-                accept(from, submit);
-            }
-            return;
-        }
         owners.onReceived(from);
         if (message instanceof PeerMessage.SubmitPieces submit) {
             accept(from, submit);
@@ -263,9 +261,8 @@
 
     private void accept(String from, PeerMessage.SubmitPieces submit) {
         PieceListener resultSender = new RemoteResultSender(from, submit.service(), peers, heartbeats);
-        if (leaving || members.getMember(from) == null) {
-            String reason = leaving ? "instance is leaving" : "not a member";
-            log.write("pieces.rejected", "peer", from, "service", submit.service(), "reason", reason);
+        if (leaving) {
+            log.write("pieces.rejected", "peer", from, "service", submit.service(), "reason", "instance is leaving");
             submit.orders()
                     .forEach(order ->
                             resultSender.onResult(PieceResult.notProduced(order.id(), PieceResult.Status.WITHDRAWN)));
@@ -396,6 +393,9 @@
 
     private void tick(long lateNanos) {
         scheduleTick();
+        if (liveMembers.removeSilent()) {
+            onMembersChanged();
+        }
         sendHeartbeats(heartbeats.selectDue(
                 peers.getConnectedPeers(), services.stream().anyMatch(owners::isOwnerOf)));
         // Messages that arrived while this loop was late are processed after this tick.
