Let pieces refused by a full endpoint wait for the retry budget

Cause: a refused call charged each of its pieces to the retry budget, and a piece without an allowance failed. The class: a refusal, which proves that nothing ran, treated like a failure. Change: a refused piece goes back to the queue and is sent again, the earliest due first, when the budget can be spent; until its deadline, as any queued piece. A refusal no longer counts as a failure of the piece at that endpoint. Why it works: the budget still bounds what endpoints receive again, but its lack delays pieces in place of ending requests.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -163,6 +163,7 @@
         queue.removeIf(
                 task -> now + minCallNanos > task.order.terms().deadlineNanos(),
                 task -> finish(task, PieceResult.notProduced(task.order.id(), PieceResult.Status.LATE)));
+        queue.grantRetries(() -> budget.trySpend(service));
         boolean idleEndpointLeft = false;
         for (EndpointState endpoint : usable) {
             if (queue.isEmpty()) {
@@ -390,6 +391,15 @@
             }
         }
 
+        // Nothing of a refused piece has run, so that it can wait until the budget allows to send it again.
+        private void requeueRefused(PieceTask task) {
+            task.attempts--;
+            if (!task.finished && !retriedElsewhere.contains(task)) {
+                task.awaitsRetryBudget = true;
+                queue.add(task);
+            }
+        }
+
         @Override
         public void onFailed(CallFailure failure, String detail) {
             end();
@@ -419,9 +429,10 @@
             }
             for (PieceTask task : batch) {
                 if (refused) {
-                    task.attempts--;
+                    requeueRefused(task);
+                } else {
+                    requeue(task, failure != CallFailure.NOT_SENT);
                 }
-                requeue(task, failure != CallFailure.NOT_SENT);
             }
             dispatch();
         }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -60,7 +61,7 @@
         List<Candidate> candidates = new ArrayList<>();
         boolean fillsBatch = queued.size() >= offer.batchSize();
         for (PieceTask task : queued) {
-            if (!task.failedEndpoints.contains(offer.endpoint()) || task.failedEndpoints.containsAll(usableEndpoints)) {
+            if (isAllowed(task, offer, usableEndpoints)) {
                 long wait = crossZoneWait(task, offer.zone(), isZoneServed);
                 if (fillsBatch || now - task.queuedNanos >= wait) {
                     candidates.add(new Candidate(task, sortKey(task, now + offer.callNanos()) + wait));
@@ -81,6 +82,26 @@
         return batch;
     }
 
+    private static boolean isAllowed(PieceTask task, Offer offer, Collection<String> usableEndpoints) {
+        return !task.awaitsRetryBudget
+                && (!task.failedEndpoints.contains(offer.endpoint())
+                        || task.failedEndpoints.containsAll(usableEndpoints));
+    }
+
+    /** Lets the pieces that await the retry budget be sent again, the earliest due first, while it can be spent. */
+    void grantRetries(BooleanSupplier trySpend) {
+        List<PieceTask> awaiting = queued.stream()
+                .filter(task -> task.awaitsRetryBudget)
+                .sorted(Comparator.comparingLong(task -> task.order.terms().dueNanos()))
+                .toList();
+        for (PieceTask task : awaiting) {
+            if (!trySpend.getAsBoolean()) {
+                return;
+            }
+            task.awaitsRetryBudget = false;
+        }
+    }
+
     /** Removes all matching pieces, then passes each to an action. */
     void removeIf(Predicate<PieceTask> condition, Consumer<PieceTask> action) {
         List<PieceTask> removed = new ArrayList<>();
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceTask.java
@@ -17,6 +17,9 @@
     final Set<String> failedEndpoints = new HashSet<>();
 
     int attempts;
+    /** Whether the piece was refused and may be sent again only when the retry budget allows it. */
+    boolean awaitsRetryBudget;
+
     boolean finished;
 
     final PieceListener listener;
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
@@ -296,6 +296,23 @@
         assertThat(fixture.results.stream().map(PieceResult::status).toList(), contains(PieceResult.Status.DONE));
     }
 
+    @Test
+    void pieceRefusedByFullEndpointDoesNotFailForLackOfRetryBudget() {
+        PoolFixture fixture = new PoolFixture(4, 100, "a");
+        while (fixture.budget.trySpend(PoolFixture.SERVICE)) {
+            assertThat(fixture.calls.sent, is(empty()));
+        }
+        fixture.submit("r", 1, fixture.terms(1_000, LONG_DEADLINE_MILLIS));
+        fixture.calls.last().fail(CallFailure.REFUSED);
+        fixture.advance(5_000);
+        assertThat(fixture.results, is(empty()));
+        assertThat(fixture.calls.sent, hasSize(1));
+        fixture.advance(7_000);
+        assertThat(fixture.calls.sent, hasSize(2));
+        fixture.calls.last().answerProduced();
+        assertThat(fixture.count(PieceResult.Status.DONE), is(1L));
+    }
+
     @Test
     void countsQueuedPiecesByRank() {
         PoolFixture fixture = new PoolFixture(1, 100, "a");
