--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -53,6 +53,7 @@
     private final SharedRetryBudget budget;
     private final DecisionLog log;
     private final Meters meters;
+    private final StageCallLog callLog;
     private final PieceQueue queue = new PieceQueue();
     private final ResultSpace resultSpace = new ResultSpace();
     private final Map<String, List<PieceTask>> tasksByRequest = new HashMap<>();
@@ -77,6 +78,7 @@
         this.budget = context.budget();
         this.log = context.log();
         this.meters = context.meters();
+        this.callLog = new StageCallLog(context.log(), service);
         this.endpoints = new StageEndpoints(service, context);
         this.releases = new ResultReleases(service, context, resultSpace, this::dispatch);
         this.foreignSpace = new ForeignSpaceEstimator(service, context, resultSpace, this::dispatch);
@@ -268,8 +270,7 @@
         private final double expectedNanos;
         private final Timer stuckTimer;
         private final Timer abandonTimer;
-        private final int queuedAtStart = queue.size();
-        private final long freeBytesAtStart;
+        private final StageCallLog.Start start;
         /** Pieces that were retried elsewhere when this call was detected as stuck. */
         private final Set<PieceTask> retriedElsewhere = new HashSet<>();
 
@@ -281,8 +282,12 @@
             this.batch = batch;
             this.pieceSpec = pieceSpec;
             this.expectedNanos = pieceSpec.callMillisFor(batch.size()) * NANOS_PER_MILLI;
-            this.freeBytesAtStart =
-                    foreignSpace.estimateFreeBytes(endpoint.getEndpoint(), pieceSpec.resultSpaceBytes());
+            this.start = new StageCallLog.Start(
+                    name,
+                    batch.size(),
+                    expectedNanos,
+                    queue.size(),
+                    foreignSpace.estimateFreeBytes(endpoint.getEndpoint(), pieceSpec.resultSpaceBytes()));
             this.stuckTimer = timers.schedule(
                     sentNanos + (long) (STUCK_FACTOR * expectedNanos) + STUCK_SLACK_NANOS, this::onStuck);
             this.abandonTimer = timers.schedule(sentNanos + (long) (ABANDON_FACTOR * expectedNanos), this::onAbandoned);
@@ -310,24 +315,7 @@
             endpoint.onCompleted((long) (NOMINAL_CALL_NANOS * durationNanos / expectedNanos));
             health.onSuccess(table.getPool(service), endpoint, false, timers.now());
             meters.time("stage_call_seconds", service, durationNanos);
-            log.write(
-                    "stage.answered",
-                    "service",
-                    service,
-                    "endpoint",
-                    name,
-                    "pieces",
-                    batch.size(),
-                    "took_ms",
-                    durationNanos / 1_000_000,
-                    "expected_ms",
-                    (long) (expectedNanos / NANOS_PER_MILLI),
-                    "waiting",
-                    queue.size(),
-                    "waiting_at_start",
-                    queuedAtStart,
-                    "free_bytes_at_start",
-                    freeBytesAtStart);
+            callLog.writeAnswered(start, durationNanos, queue.size());
             Map<PieceListener, List<PieceResult>> produced = new LinkedHashMap<>();
             for (int i = 0; i < batch.size(); i++) {
                 onPieceAnswered(batch.get(i), answers.get(i), produced);
@@ -403,20 +391,7 @@
         @Override
         public void onFailed(CallFailure failure, String detail) {
             end();
-            log.write(
-                    "stage.failed",
-                    "service",
-                    service,
-                    "endpoint",
-                    name,
-                    "pieces",
-                    batch.size(),
-                    "failure",
-                    failure.getWireName(),
-                    "detail",
-                    detail,
-                    "took_ms",
-                    (timers.now() - sentNanos) / 1_000_000);
+            callLog.writeFailed(start, failure.getWireName(), detail, timers.now() - sentNanos);
             meters.count("stage_failures", failure.getWireName());
             batch.forEach(task -> resultSpace.addUsed(name, -task.order.terms().resultBytes()));
             boolean refused = failure == CallFailure.REFUSED;
@@ -438,8 +413,7 @@
         }
 
         private void onStuck() {
-            log.write("stage.stuck", "service", service, "endpoint", name, "pieces", batch.size(), "expected_ms", (long)
-                    (expectedNanos / NANOS_PER_MILLI));
+            callLog.writeStuck(start);
             health.onFailure(table.getPool(service), endpoint, CallFailure.TIMEOUT, timers.now());
             // A piece that may not be retried stays with this call, which may still answer.
             batch.stream()
