--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -115,6 +115,7 @@
     private final Map<String, StagePools> poolsByName = new HashMap<>();
     private final Map<String, OutcomeCounts> countsByKind = new TreeMap<>();
     private final Map<String, Burst> bursts = new HashMap<>();
+    private DecisionLog log = DecisionLog.NONE;
     private int nextId;
     private double deadlineSpread;
 
@@ -175,6 +176,18 @@
         return this;
     }
 
+    /** Makes the calls of a stage service last longer than specified, as transfers of inputs do. */
+    FleetSimulation slowStage(String service, double factor) {
+        stageEndpoints.setDurationFactor(service, factor);
+        return this;
+    }
+
+    /** Writes the decisions of all instances to a log. */
+    FleetSimulation logTo(DecisionLog decisionLog) {
+        log = decisionLog;
+        return this;
+    }
+
     @Override
     public String toString() {
         return (sharedPools ? "pooled, " : "each for itself, ")
@@ -304,7 +317,7 @@
                 admission,
                 timers,
                 instanceRandom,
-                DecisionLog.NONE,
+                log,
                 Meters.NONE));
         List<ServiceSpec> services = new ArrayList<>();
         services.add(new ServiceSpec(ENGINE, null));
--- a/core/src/test/java/org/fuchsiawharf/core/relay/SimulatedStage.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/SimulatedStage.java
@@ -32,6 +32,7 @@
     private long calls;
     private long pieces;
     private long crossZoneBytes;
+    private final Map<String, Double> durationFactors = new HashMap<>();
     private double leakedShare;
     private long leakedUntilNanos;
 
@@ -45,6 +46,11 @@
         endpoints.put(endpoint.name(), new SimulatedEndpoint(endpoint, spec));
     }
 
+    /** Makes the calls of a service last longer than specified, as transfers of inputs do. */
+    void setDurationFactor(String service, double factor) {
+        durationFactors.put(service, factor);
+    }
+
     /** Fills a share of every endpoint's memory with results that are never released and expire one by one. */
     void leakResults(double share) {
         leakedShare = share;
@@ -128,7 +134,8 @@
             int produced = (int) answers.stream()
                     .filter(answer -> answer.kind() == PieceCalls.AnswerKind.PRODUCED)
                     .count();
-            long durationNanos = (long) (spec.callMillisFor(produced) * MILLI);
+            double factor = durationFactors.getOrDefault(endpoint.service(), 1.0);
+            long durationNanos = (long) (factor * spec.callMillisFor(produced) * MILLI);
             calls++;
             pieces += produced;
             timers.schedule(timers.now() + durationNanos, () -> {
