Recognize returning callers although first deadlines differ

Cause: where first deadlines differ, a caller that returned after a refusal counted as new. It was asked to return after its objective, so that it could only be late, and then took the place of a new caller that could be on time. The class: a quantity that cannot be seen treated as if it were zero. Change: an instance learns how much first deadlines differ while it refuses nobody; refused callers are asked to stay away for that long, and for their objective at least, and a deadline shorter than all first ones shows a returning caller. It is then admitted only to a queue that leaves place, as where first deadlines are alike. Why it works: the delay separates the two groups of deadlines, so that the order of admission can differ.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/ObjectiveAdmission.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/ObjectiveAdmission.java
@@ -13,8 +13,8 @@
  * new request could join; with seconds left until its deadline, it would otherwise occupy result memory that requests
  * on time need. A request that cannot end before its deadline is rejected without a retry delay.
  *
- * <p>If returning callers cannot be told from new ones, a rejected caller is asked to return after its objective: sooner,
- * it would join the queue in place of requests that still can be on time.
+ * <p>A rejected caller is asked to stay away for as long as it would be taken for a new one: sooner, it would join the
+ * queue in place of requests that still can be on time.
  *
  * <p>Stateless and thread-safe.
  */
@@ -25,7 +25,7 @@
     private static final double LATE_OBJECTIVE_SHARE = 0.85;
     /** Minimum retry delay; a caller needs a round trip and a new connection in any case. */
     private static final long MIN_RETRY_MILLIS = 150;
-    /** Maximum retry delay; a burst lasts seconds, and the backlog is processed in less time. */
+    /** Maximum retry delay; the length of a burst. */
     private static final long MAX_RETRY_MILLIS = 3_000;
 
     @Override
@@ -46,9 +46,7 @@
             return Decision.ADMIT;
         }
         double excessMillis = Math.min(estimate.waitMillis(), estimate.doneMillis() - boundMillis);
-        double minRetryMillis = estimate.elapsedTimeKnown()
-                ? MIN_RETRY_MILLIS
-                : Math.max(MIN_RETRY_MILLIS, estimate.fullObjectiveMillis());
+        double minRetryMillis = Math.max(MIN_RETRY_MILLIS, estimate.unrecognizedMillis());
         return Decision.reject((long) Math.min(MAX_RETRY_MILLIS, Math.max(minRetryMillis, 2 * excessMillis)));
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -178,7 +178,7 @@
                 context,
                 forecast,
                 routedRequest,
-                statistics.computeIfAbsent(route.name(), r -> new RouteStatistics()),
+                statistics.computeIfAbsent(route.name(), r -> new RouteStatistics(context.timers()::now)),
                 () -> tasks.remove(exchange));
         tasks.put(exchange, task);
         task.start();
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -101,7 +101,7 @@
         this.deadlineNanos = arrivedNanos + Math.max(1, deadlineMillis - RESPONSE_MARGIN_MILLIS) * NANOS_PER_MILLI;
         long elapsedMillis = statistics
                 .getElapsedTime()
-                .estimateMillis(routedRequest.request().deadlineMillis());
+                .estimateMillis(routedRequest.request().deadlineMillis(), route.objectiveMillis());
         this.objectiveNanos = arrivedNanos + (route.objectiveMillis() - elapsedMillis) * NANOS_PER_MILLI;
         Integer workspaceRank = routedRequest.workspace() == null
                 ? null
@@ -137,13 +137,14 @@
                 route.objectiveMillis(),
                 (objectiveNanos - timers.now()) / (double) NANOS_PER_MILLI,
                 (deadlineNanos - timers.now()) / (double) NANOS_PER_MILLI,
-                statistics.getElapsedTime().areFirstDeadlinesAlike());
+                statistics.getElapsedTime().getUnrecognizedMillis(route.objectiveMillis()));
         RequestAdmission.Decision decision = context.admission().decide(requestEstimate);
         long backlogStalenessNanos =
                 context.pools().getBacklogStaleness(route.stages().get(0).service());
         RequestDecisionLog.writeAdmission(
                 context.log(), routedRequest, rank, requestEstimate, decision, backlogStalenessNanos);
         if (!decision.admitted()) {
+            statistics.getElapsedTime().onRefused();
             // Random spread prevents callers that were rejected together from retrying at the same time.
             long retryDelayMillis =
                     (long) (decision.retryAfterMillis() * (1 + context.random().nextDouble()));
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RequestAdmission.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RequestAdmission.java
@@ -44,8 +44,8 @@
      * @param fullObjectiveMillis the latency objective, counted from the caller's first attempt, in milliseconds
      * @param objectiveMillis the time left until the latency objective, in milliseconds; not positive if it is missed
      * @param deadlineMillis the time left until the deadline, in milliseconds
-     * @param elapsedTimeKnown whether the time since the caller's first attempt is known; if not, the objective counts
-     *     from this attempt
+     * @param unrecognizedMillis the time since its first attempt below which a returning caller is taken for a new
+     *     one, in milliseconds; 0 if every returning caller is recognized
      */
     record RequestEstimate(
             int rank,
@@ -54,5 +54,5 @@
             double fullObjectiveMillis,
             double objectiveMillis,
             double deadlineMillis,
-            boolean elapsedTimeKnown) {}
+            long unrecognizedMillis) {}
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RouteStatistics.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RouteStatistics.java
@@ -1,6 +1,7 @@
 package org.fuchsiawharf.core.relay;
 
 import org.fuchsiawharf.core.routing.LatencyEstimate;
+import org.fuchsiawharf.core.time.Clock;
 
 /**
  * Statistics of one instance about the requests of one route.
@@ -19,9 +20,13 @@
     private static final double BIAS_WEIGHT = 0.1;
 
     private final LatencyEstimate responseTime = new LatencyEstimate(INITIAL_RESPONSE_NANOS);
-    private final ElapsedTimeEstimator elapsedTime = new ElapsedTimeEstimator();
+    private final ElapsedTimeEstimator elapsedTime;
     private double stageBias = 1;
 
+    RouteStatistics(Clock clock) {
+        this.elapsedTime = new ElapsedTimeEstimator(clock);
+    }
+
     /** Records the time from sending a request until its response or first event, in nanoseconds. */
     void onResponse(long nanos) {
         responseTime.add(nanos);
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestObjectiveAdmission.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestObjectiveAdmission.java
@@ -23,7 +23,13 @@
     private Decision decide(
             double waitMillis, double doneMillis, double remainingObjectiveMillis, boolean elapsedTimeKnown) {
         return admission.decide(new RequestEstimate(
-                2, waitMillis, doneMillis, OBJECTIVE, remainingObjectiveMillis, DISTANT_DEADLINE, elapsedTimeKnown));
+                2,
+                waitMillis,
+                doneMillis,
+                OBJECTIVE,
+                remainingObjectiveMillis,
+                DISTANT_DEADLINE,
+                elapsedTimeKnown ? 0 : (long) OBJECTIVE));
     }
 
     @Test
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestStageForecastOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestStageForecastOfFleet.java
@@ -134,17 +134,23 @@
     }
 
     private static Map<String, FleetSimulation.OutcomeCounts> run(DecisionLog log, double loadFactor, double burst) {
+        return run(log, loadFactor, burst, DEADLINE_SPREAD);
+    }
+
+    private static Map<String, FleetSimulation.OutcomeCounts> run(
+            DecisionLog log, double loadFactor, double burst, double deadlineSpread) {
         Map<String, FleetSimulation.OutcomeCounts> totals = new TreeMap<>();
         for (long seed : SEEDS) {
             new FleetSimulation(kinds(), STAGES, true, new ObjectiveAdmission(), seed)
-                    .spreadDeadlines(DEADLINE_SPREAD)
+                    .spreadDeadlines(deadlineSpread)
                     .slowStage("rerank", RERANK_DURATION_FACTOR)
                     .addBurst("draft", burst, 4, 8)
                     .logTo(log)
                     .run(INSTANCES, loadFactor, SECONDS)
                     .forEach((kind, counts) -> totals.merge(kind, counts, FleetSimulation.OutcomeCounts::add));
         }
-        System.out.println("grown coaching, load " + loadFactor + ", burst " + burst + ": " + totals);
+        System.out.println("grown coaching, load " + loadFactor + ", burst " + burst + ", deadlines spread by "
+                + deadlineSpread + ": " + totals);
         return totals;
     }
 
@@ -172,4 +178,18 @@
         FleetSimulation.OutcomeCounts turns = Objects.requireNonNull(counts.get("turn"));
         assertThat(turns.onTime / (double) (turns.onTime + turns.late), is(greaterThan(0.8)));
     }
+
+    @Test
+    void returningCallersDoNotDisplaceNewOnesThatCanBeOnTime() {
+        Map<String, FleetSimulation.OutcomeCounts> recognized = run(DecisionLog.NONE, 1, 2.7, 0);
+        Map<String, FleetSimulation.OutcomeCounts> unrecognized = run(DecisionLog.NONE, 1, 2.7, DEADLINE_SPREAD);
+        for (String route : List.of("draft", "turn")) {
+            double bound = onTimeShare(recognized, route) - 0.1;
+            assertThat(route, onTimeShare(unrecognized, route), is(greaterThan(bound)));
+        }
+    }
+
+    private static double onTimeShare(Map<String, FleetSimulation.OutcomeCounts> counts, String route) {
+        return Objects.requireNonNull(counts.get(route)).onTimeShare();
+    }
 }
