Read and log the request limits that endpoints name

No line told that an endpoint had named a limit; now endpoint.limit_changed does, with the requests per second that it takes from all instances together, from responses to callers' requests, batches of pieces, reports and releases. Nothing else uses it so far. A response without a limit counts only if its request was sent after the limit was named: it may be older.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -101,6 +101,22 @@
         }
     }
 
+    /**
+     * Applies the request limit that an endpoint named, or its absence, in a response.
+     *
+     * @param endpoint the name of the endpoint, not null
+     * @param perSecond the requests per second that the endpoint accepts from all instances together; 0 if unlimited
+     * @param sentNanos the time at which the request of the response was sent, in nanoseconds
+     */
+    public void onRequestLimit(String endpoint, double perSecond, long sentNanos) {
+        EndpointState state = context.table().getEndpoint(endpoint);
+        if (state != null
+                && state.getRequestLimit()
+                        .onNamed(perSecond, sentNanos, context.timers().now())) {
+            context.log().write("endpoint.limit_changed", "endpoint", endpoint, "per_second", perSecond);
+        }
+    }
+
     /**
      * Marks an endpoint that announced that it is leaving.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
@@ -26,6 +26,7 @@
     private final ConcurrencyLimit limit;
     private final LatencyEstimate serviceTime;
     private final LatencyEstimate tokenInterval = new LatencyEstimate(0);
+    private final RequestLimit requestLimit = new RequestLimit();
     private final long[] prefixes = new long[PREFIX_BUCKETS];
 
     private boolean leaving;
@@ -204,6 +205,15 @@
         return limit;
     }
 
+    /**
+     * Gets the limit on the requests that the endpoint accepts from all instances.
+     *
+     * @return the limit, never null
+     */
+    public RequestLimit getRequestLimit() {
+        return requestLimit;
+    }
+
     /**
      * Checks whether the endpoint's cache is assumed to hold a prefix.
      *
--- a/relay/src/main/java/org/fuchsiawharf/relay/FieldNames.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/FieldNames.java
@@ -21,6 +21,8 @@
  * @param tokenCounts the number of tokens of the prompt and the maximum number of tokens of the response
  * @param rank the request's rank, on requests to endpoints
  * @param load the endpoint's load, on responses
+ * @param requestLimit the requests per second that the endpoint accepts from all instances together, on responses; any of
+ *     these names
  * @param reserved the fields that only an instance may set, removed from callers' requests
  */
 public record FieldNames(
@@ -38,6 +40,7 @@
         String tokenCounts,
         String rank,
         String load,
+        Set<String> requestLimit,
         Set<String> reserved) {
 
     /** The default header field names. */
@@ -56,10 +59,12 @@
             "wharf-token-count",
             "wharf-rank",
             "wharf-load",
+            Set.of("wharf-request-limit"),
             Set.of());
 
     /** Creates the names with an immutable copy of the reserved fields. */
     public FieldNames {
+        requestLimit = Set.copyOf(requestLimit);
         reserved = Set.copyOf(reserved);
     }
 
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
@@ -21,6 +21,7 @@
 import org.fuchsiawharf.core.relay.RelayInstance;
 import org.fuchsiawharf.relay.FieldNames;
 import org.fuchsiawharf.relay.IoThread;
+import org.fuchsiawharf.relay.RequestLimitReader;
 import org.fuchsiawharf.relay.client.HttpCall;
 import org.fuchsiawharf.relay.client.HttpClient;
 import org.jspecify.annotations.Nullable;
@@ -54,6 +55,7 @@
     private final FieldNames names;
     private final Executor decisionLoop;
     private final DecisionLog log;
+    private final RequestLimitReader limitReader;
     private @Nullable RelayInstance instance;
 
     /**
@@ -64,14 +66,21 @@
      * @param names the names of the header fields, not null
      * @param decisionLoop executes tasks on the decision loop, not null
      * @param log records malformed load reports, not null
+     * @param limitReader reads the request limits of responses, not null
      */
     public RelayedCalls(
-            IoThread ioThread, HttpClient client, FieldNames names, Executor decisionLoop, DecisionLog log) {
+            IoThread ioThread,
+            HttpClient client,
+            FieldNames names,
+            Executor decisionLoop,
+            DecisionLog log,
+            RequestLimitReader limitReader) {
         this.ioThread = ioThread;
         this.client = client;
         this.names = names;
         this.decisionLoop = decisionLoop;
         this.log = log;
+        this.limitReader = limitReader;
     }
 
     /**
@@ -176,6 +185,10 @@
         return names;
     }
 
+    RequestLimitReader getLimitReader() {
+        return limitReader;
+    }
+
     DecisionLog getLog() {
         return log;
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -31,6 +31,7 @@
 import org.fuchsiawharf.peer.PeerNetwork;
 import org.fuchsiawharf.relay.FieldNames;
 import org.fuchsiawharf.relay.IoThread;
+import org.fuchsiawharf.relay.RequestLimitReader;
 import org.fuchsiawharf.relay.client.HttpClient;
 import org.fuchsiawharf.relay.edge.CallerServer;
 import org.fuchsiawharf.relay.edge.RelayedCalls;
@@ -62,6 +63,7 @@
     private final TaskLoop loop;
     private final IoThread ioThread = new IoThread();
     private final HttpClient client;
+    private final RequestLimitReader limitReader;
     private final MemberTable members;
     private final PeerNetwork peers;
     private final StagePools pools;
@@ -95,6 +97,7 @@
         Member self = settings.self();
         this.loop = new TaskLoop(self.name(), System::nanoTime);
         TimerService timers = loop.getTimers();
+        this.limitReader = new RequestLimitReader(names, loop, log);
         this.client = new HttpClient(ioThread, names.requestId(), meters);
         this.members = new MemberTable(self);
         this.peers = new PeerNetwork(self, ioThread.getGroup(), loop, System::nanoTime, log, meters);
@@ -112,7 +115,7 @@
                 members,
                 peers,
                 new PoolContext(table, ejection, pieceCalls.apply(this), timers, retryBudget, log, meters));
-        RelayedCalls calls = new RelayedCalls(ioThread, client, names, loop, log);
+        RelayedCalls calls = new RelayedCalls(ioThread, client, names, loop, log, limitReader);
         this.instance = new RelayInstance(new RelayContext(
                 table,
                 new ExpectedCompletionSelector(random, CROSS_ZONE_COST_NANOS, CACHED_PROMPT_SAVING_NANOS),
@@ -127,6 +130,7 @@
                 log,
                 meters));
         calls.setInstance(instance);
+        limitReader.setListener(instance::onRequestLimit);
         this.callerServer = new CallerServer(ioThread, names, instance, loop, log, meters);
         loop.addPauseListener(nanos -> {
             log.write("instance.paused", "millis", nanos / 1_000_000);
@@ -273,6 +277,15 @@
         return client;
     }
 
+    /**
+     * Gets the reader of the request limits that endpoints name.
+     *
+     * @return the reader, never null
+     */
+    public RequestLimitReader getLimitReader() {
+        return limitReader;
+    }
+
     /**
      * Gets the I/O thread, which serves all connections.
      *
