--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -45,7 +45,7 @@
     static final String HOST = "h.example";
     static final String KEY = "key-1";
 
-    final TimerService timers = new TimerService(0);
+    final TimerService timers;
     final FakeEndpointCalls calls = new FakeEndpointCalls();
     final FakePieceCalls pieces = new FakePieceCalls();
     final RelayInstance instance;
@@ -58,22 +58,32 @@
     }
 
     RelayInstanceFixture(double retryAllowance) {
+        this(new TimerService(0), member(0), List.of(), retryAllowance, null);
+    }
+
+    /** Creates an instance of a fleet; its requests to endpoints go to its own fake if no calls are given. */
+    RelayInstanceFixture(
+            TimerService timers,
+            Member self,
+            List<Member> fleet,
+            double retryAllowance,
+            @Nullable EndpointCalls endpointCalls) {
+        this.timers = timers;
         DecisionLog log = (event, fields) -> loggedEvents.add(event);
-        Member self = new Member("m0", 1, "a", "10.0.1.0", 7_000, 1);
+        MemberTable members = new MemberTable(self);
+        members.replace(fleet);
         EndpointTable table = new EndpointTable("a", NoConcurrencyLimit::new);
         OutlierEjection health = new OutlierEjection();
         budget = new SharedRetryBudget(0.2, retryAllowance, 10_000 * MILLI, () -> 1, timers::now);
         StagePools pools = new StagePools(
-                new MemberTable(self),
-                PeerPort.NONE,
-                new PoolContext(table, health, pieces, timers, budget, log, Meters.NONE));
-        SplittableRandom random = new SplittableRandom(1);
+                members, PeerPort.NONE, new PoolContext(table, health, pieces, timers, budget, log, Meters.NONE));
+        SplittableRandom random = new SplittableRandom(self.name().hashCode());
         instance = new RelayInstance(new RelayContext(
                 table,
                 new ExpectedCompletionSelector(random, 2e6, 150e6),
                 health,
                 pools,
-                calls,
+                endpointCalls == null ? calls : endpointCalls,
                 budget,
                 new IdleConnectionLimits(() -> 1),
                 new ObjectiveAdmission(),
@@ -84,6 +94,10 @@
         pools.start();
     }
 
+    static Member member(int index) {
+        return new Member("m" + index, 1, "a", "10.0.1." + index, 7_000, 1);
+    }
+
     /** Creates a fixture with a configuration and endpoints. */
     static RelayInstanceFixture configured() {
         RelayInstanceFixture fixture = new RelayInstanceFixture();
