Keep the requests of all instances together within the limit of an endpoint

Callers and operators saw: an endpoint in need that had named a limit of 1 request a second received 13 in 4 s from instances that it had told, 11 are allowed. Cause: nothing read the limit, and an instance alone cannot keep a bound on a sum: nine instances with a token each already send nine. On the stage side TestFleetStagePool.callsReleasesAndReportsStayWithinRequestLimitOfEndpoint failed with 212 requests in 10 s without the change in pieces, where fewer than 12 are allowed. Change: RequestShares gives a few instances, ranked by the endpoint's name, equal parts of the limit as an interval between two requests; all others together send one request each four seconds, by which they see the end of the limit. Choice of endpoints, repeats, resumed streams, batches and releases ask it; reports of free space are left out while a limit is named. Where all endpoints are limited, a request is refused at once with a delay, and one request at a time is admitted to stages; EndpointChoice is split from RelayTask for it. Why it works: an interval saves no time up, so that in any window each sender exceeds its part by one request at most, and the number of senders is below what the contract allows beyond the limit; a sender that restarts begins with an unknown limit and a random part of its interval. What remains: instances that do not send see the end of a limit late in a large fleet; the limits of a service whose owners split in a cut of zones are kept by each side for itself.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ForeignSpaceEstimator.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ForeignSpaceEstimator.java
@@ -5,6 +5,8 @@
 
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.core.routing.EndpointState;
+import org.fuchsiawharf.core.routing.EndpointTable;
 import org.fuchsiawharf.core.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -31,6 +33,7 @@
     private static final double NEGLIGIBLE_SHARE = 1 / 16.0;
 
     private final String service;
+    private final EndpointTable table;
     private final PieceCalls calls;
     private final TimerService timers;
     private final DecisionLog log;
@@ -56,6 +59,7 @@
      */
     ForeignSpaceEstimator(String service, PoolContext context, ResultSpace ownSpace, Runnable onReport) {
         this.service = service;
+        this.table = context.table();
         this.calls = context.calls();
         this.timers = context.timers();
         this.log = context.log();
@@ -110,6 +114,11 @@
     }
 
     private void requestReport(Endpoint endpoint, long capacityBytes, Estimate estimate) {
+        EndpointState state = table.getEndpoint(endpoint.name());
+        // The few requests that a limited endpoint accepts are left to calls.
+        if (state == null || state.getRequestLimit().getPerSecond() > 0) {
+            return;
+        }
         estimate.requestedAtNanos = timers.now();
         estimate.report = null;
         calls.requestFreeSpace(endpoint, report -> {
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ResultReleases.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ResultReleases.java
@@ -51,7 +51,13 @@
                         .add(handle);
             }
         }
-        if (!scheduled && !handlesByProducer.isEmpty()) {
+        if (!handlesByProducer.isEmpty()) {
+            scheduleSend();
+        }
+    }
+
+    private void scheduleSend() {
+        if (!scheduled) {
             scheduled = true;
             timers.schedule(timers.now() + BATCHING_DELAY_NANOS, this::send);
         }
@@ -70,6 +76,12 @@
             return;
         }
         long sentNanos = timers.now();
+        if (!state.getRequestLimit().maySend(sentNanos)) {
+            handlesByProducer.computeIfAbsent(producer, p -> new ArrayList<>()).addAll(handles);
+            scheduleSend();
+            return;
+        }
+        state.getRequestLimit().onSent(sentNanos);
         calls.release(state.getEndpoint(), handles, () -> {
             meters.time("results_freed_seconds", service, timers.now() - sentNanos);
             handles.forEach(space::free);
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
@@ -52,12 +52,19 @@
 
     boolean hasIdleSlot(EndpointState endpoint, int slots) {
         String name = endpoint.getEndpoint().name();
-        return !isBackingOff(name) && callsByEndpoint.getOrDefault(name, 0) < slots;
+        return !isBackingOff(name)
+                && endpoint.getRequestLimit().maySend(timers.now())
+                && callsByEndpoint.getOrDefault(name, 0) < slots;
     }
 
-    /** Checks whether any of the endpoints is backing off, so that its slots become idle without a further event. */
+    /**
+     * Checks whether any of the endpoints is backing off or limits requests, so that its slots become idle without a
+     * further event.
+     */
     boolean isAnyBackingOff(List<EndpointState> candidates) {
-        return candidates.stream().anyMatch(e -> isBackingOff(e.getEndpoint().name()));
+        return candidates.stream()
+                .anyMatch(e -> isBackingOff(e.getEndpoint().name())
+                        || !e.getRequestLimit().maySend(timers.now()));
     }
 
     /** Backs off from an endpoint whose queue was full. */
@@ -68,6 +75,7 @@
     void onSent(EndpointState endpoint) {
         callsByEndpoint.merge(endpoint.getEndpoint().name(), 1, Integer::sum);
         endpoint.onSent();
+        endpoint.getRequestLimit().onSent(timers.now());
     }
 
     void onEnded(EndpointState endpoint) {
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -185,7 +185,8 @@
     private void freeAtProducers(List<String> handles) {
         for (String handle : handles) {
             EndpointState producer = context.table().findByHandle(handle);
-            if (producer != null) {
+            if (producer != null && producer.getRequestLimit().maySend(timers.now())) {
+                producer.getRequestLimit().onSent(timers.now());
                 context.calls().release(producer.getEndpoint(), List.of(handle), () -> {});
             }
         }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -76,6 +76,7 @@
 
     void begin(EndpointCalls.Terms terms) {
         endpoint.onSent();
+        endpoint.getRequestLimit().onSent(timers.now());
         call = context.calls().send(routedRequest.exchange(), endpoint.getEndpoint(), terms, this);
         if (routedRequest.route().kind().isRepeatable()) {
             silenceTimer = timers.schedule(timers.now() + SILENCE_CHECK_NANOS, this::checkSilence);
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
@@ -0,0 +1,74 @@
+package org.fuchsiawharf.core.relay;
+
+import org.fuchsiawharf.core.routing.EndpointState;
+import org.fuchsiawharf.core.routing.ServicePool;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the endpoints of one request.
+ *
+ * <p>Confined to the decision loop.
+ */
+final class EndpointChoice {
+    private final RelayContext context;
+    private final ServicePool pool;
+    private final long prefixKey;
+    private boolean reserved;
+
+    EndpointChoice(RelayContext context, String service, long prefixKey) {
+        this.context = context;
+        this.pool = context.table().getPool(service);
+        this.prefixKey = prefixKey;
+    }
+
+    /** Selects an endpoint to which a request may be sent now; null if there is none. */
+    @Nullable
+    EndpointState select(@Nullable EndpointState avoided) {
+        long now = context.timers().now();
+        context.health().allowProbes(pool, now);
+        EndpointState selected = context.selector().select(pool, prefixKey, avoided, now);
+        if (selected != null) {
+            return selected;
+        }
+        // If no endpoint is healthy, any listed endpoint is used: an attempt may succeed where a refusal cannot.
+        return pool.getEndpoints().stream()
+                .filter(endpoint -> endpoint != avoided && isSendable(endpoint, now))
+                .min((a, b) -> Integer.compare(a.getInFlight(), b.getInFlight()))
+                .orElse(avoided != null && isSendable(avoided, now) ? avoided : null);
+    }
+
+    private static boolean isSendable(EndpointState endpoint, long now) {
+        return !endpoint.isLeaving() && endpoint.getRequestLimit().maySend(now);
+    }
+
+    /** Gets the time from which the request limit of an endpoint permits a request; the maximum if none limits them. */
+    long getNextSendNanos() {
+        return pool.getEndpoints().stream()
+                .filter(endpoint -> !endpoint.isLeaving() && isLimited(endpoint))
+                .mapToLong(endpoint -> endpoint.getRequestLimit().getNextSendNanos())
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
+    /**
+     * Reserves the next request to a service whose endpoints are all limited, until {@link #release}; a request with
+     * stages is sent only after them. Returns false if another request has reserved it.
+     */
+    boolean reserve() {
+        boolean allLimited = pool.getEndpoints().stream().allMatch(e -> e.isLeaving() || isLimited(e));
+        reserved = allLimited && pool.reserveRequest();
+        return reserved || !allLimited;
+    }
+
+    /** Releases the reservation, if any. */
+    void release() {
+        if (reserved) {
+            reserved = false;
+            pool.releaseRequest();
+        }
+    }
+
+    private static boolean isLimited(EndpointState endpoint) {
+        return endpoint.getRequestLimit().getPerSecond() > 0;
+    }
+}
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
@@ -4,6 +4,7 @@
 
 import org.fuchsiawharf.core.health.HealthPolicy;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
+import org.fuchsiawharf.core.limits.RequestShares;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.log.Meters;
 import org.fuchsiawharf.core.pieces.StagePools;
@@ -24,6 +25,7 @@
  * @param calls sends requests to endpoints
  * @param budget limits retries
  * @param idleConnections limits the idle connections to endpoints
+ * @param requestShares divides the request limits of endpoints among the instances
  * @param admission decides which requests are admitted
  * @param timers the timer service
  * @param random the random number generator
@@ -38,6 +40,7 @@
         EndpointCalls calls,
         SharedRetryBudget budget,
         IdleConnectionLimits idleConnections,
+        RequestShares requestShares,
         RequestAdmission admission,
         TimerService timers,
         SplittableRandom random,
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.fuchsiawharf.core.error.ErrorCode;
 import org.fuchsiawharf.core.model.EndpointStatus;
@@ -63,6 +64,11 @@
         config = next;
         statistics.keySet().retainAll(next.getRouteNames());
         context.idleConnections().setServices(next.getServices().values());
+        context.requestShares()
+                .setStageServices(next.getServices().values().stream()
+                        .filter(spec -> spec.pieces() != null)
+                        .map(ServiceSpec::name)
+                        .collect(Collectors.toSet()));
         context.pools().setServices(next.getServices().values());
         context.log()
                 .write(
@@ -111,9 +117,18 @@
     public void onRequestLimit(String endpoint, double perSecond, long sentNanos) {
         EndpointState state = context.table().getEndpoint(endpoint);
         if (state != null
-                && state.getRequestLimit()
-                        .onNamed(perSecond, sentNanos, context.timers().now())) {
-            context.log().write("endpoint.limit_changed", "endpoint", endpoint, "per_second", perSecond);
+                && context.requestShares()
+                        .onNamed(state, perSecond, sentNanos, context.timers().now())) {
+            long intervalMillis = context.requestShares().getIntervalNanos(state) / 1_000_000;
+            context.log()
+                    .write(
+                            "endpoint.limit_changed",
+                            "endpoint",
+                            endpoint,
+                            "per_second",
+                            perSecond,
+                            "interval_ms",
+                            intervalMillis);
         }
     }
 
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -11,7 +11,6 @@
 import org.fuchsiawharf.core.route.Route;
 import org.fuchsiawharf.core.route.Workspace;
 import org.fuchsiawharf.core.routing.EndpointState;
-import org.fuchsiawharf.core.routing.ServicePool;
 import org.fuchsiawharf.core.time.TimerService;
 import org.fuchsiawharf.core.time.TimerService.Timer;
 import org.jspecify.annotations.Nullable;
@@ -36,6 +35,10 @@
     private static final double START_MARGIN_MILLIS = 300;
     /** Retry delay when no endpoint can accept the request now. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
+    /** Retry delay when the request limits of all endpoints are used up; about the interval of a limit of one a second. */
+    private static final long LIMITED_RETRY_MILLIS = 1_000;
+    /** Minimum interval at which a request whose stages are done checks whether a limited endpoint accepts it. */
+    private static final long LIMIT_RECHECK_NANOS = 50_000_000L;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -49,8 +52,8 @@
     private final long deadlineNanos;
     private final long objectiveNanos;
     private final int rank;
-    private final long prefixKey;
     private final String service;
+    private final EndpointChoice choice;
     private final Timer deadlineTimer;
     private final List<String> attemptResults = new ArrayList<>();
     private @Nullable StageRun stageRun;
@@ -107,9 +110,10 @@
                 ? null
                 : routedRequest.workspace().priority();
         this.rank = combineRanks(workspaceRank, route.priority());
-        this.prefixKey = route.affinity() ? hash(routedRequest.request().sharedPart()) : 0;
+        long prefixKey = route.affinity() ? hash(routedRequest.request().sharedPart()) : 0;
         this.service = route.chooseService(
                 context.random().nextDouble(), s -> context.table().getPool(s).isServing());
+        this.choice = new EndpointChoice(context, service, prefixKey);
         this.deadlineTimer = timers.schedule(deadlineNanos, this::onDeadline);
     }
 
@@ -118,7 +122,7 @@
     void start() {
         context.budget().onRequest(service);
         Route route = routedRequest.route();
-        EndpointState endpoint = selectEndpoint();
+        EndpointState endpoint = choice.select(avoidedEndpoint);
         if (endpoint == null) {
             rejectNotRun(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", NO_ENDPOINT_RETRY_MILLIS);
             return;
@@ -151,6 +155,10 @@
             rejectNotRun(ErrorCode.OVERLOADED, "the request cannot be done in time", retryDelayMillis);
             return;
         }
+        if (!choice.reserve()) {
+            rejectNotRun(ErrorCode.OVERLOADED, "the endpoints of " + service + " limit requests", LIMITED_RETRY_MILLIS);
+            return;
+        }
         estimatedMillis = stageEstimate.lastMillis();
         startStages(endpoint, stageEstimate);
     }
@@ -218,27 +226,19 @@
 
     // -----------------------------------------------------------------------
 
-    private @Nullable EndpointState selectEndpoint() {
-        ServicePool pool = context.table().getPool(service);
-        context.health().allowProbes(pool, timers.now());
-        EndpointState selected = context.selector().select(pool, prefixKey, avoidedEndpoint, timers.now());
-        if (selected != null) {
-            return selected;
-        }
-        // If no endpoint is healthy, any listed endpoint is used: an attempt may succeed where a refusal cannot.
-        return pool.getEndpoints().stream()
-                .filter(member -> !member.isLeaving() && member != avoidedEndpoint)
-                .min((a, b) -> Integer.compare(a.getInFlight(), b.getInFlight()))
-                .orElse(avoidedEndpoint != null && !avoidedEndpoint.isLeaving() ? avoidedEndpoint : null);
-    }
-
     private void send() {
-        EndpointState endpoint = selectEndpoint();
+        EndpointState endpoint = choice.select(avoidedEndpoint);
         long remainingNanos = deadlineNanos - timers.now();
+        long nextSendNanos = Math.max(timers.now() + LIMIT_RECHECK_NANOS, choice.getNextSendNanos());
+        if (endpoint == null && nextSendNanos < deadlineNanos) {
+            timers.schedule(nextSendNanos, this::sendUnlessEnded);
+            return;
+        }
         if (endpoint == null || remainingNanos < NANOS_PER_MILLI) {
             fail(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", NO_ENDPOINT_RETRY_MILLIS);
             return;
         }
+        choice.release();
         attempts++;
         attemptsWithPossibleEffect++;
         EndpointAttempt attempt = new EndpointAttempt(context, routedRequest, endpoint, this);
@@ -255,6 +255,12 @@
                 context.idleConnections().getLimit(service)));
     }
 
+    private void sendUnlessEnded() {
+        if (!ended) {
+            send();
+        }
+    }
+
     private void retryOrFail(CallFailure failure, EndpointState failedEndpoint) {
         avoidedEndpoint = failedEndpoint;
         boolean retryAllowed = !failure.mayHaveRun() || mayTryAnotherEndpoint();
@@ -275,16 +281,12 @@
         } else if (failure == CallFailure.NOT_SENT) {
             send();
         } else {
-            timers.schedule(timers.now() + RETRY_DELAY_NANOS, () -> {
-                if (!ended) {
-                    send();
-                }
-            });
+            timers.schedule(timers.now() + RETRY_DELAY_NANOS, this::sendUnlessEnded);
         }
     }
 
     private void restartStages() {
-        EndpointState endpoint = selectEndpoint();
+        EndpointState endpoint = choice.select(avoidedEndpoint);
         if (endpoint == null) {
             fail(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", NO_ENDPOINT_RETRY_MILLIS);
             return;
@@ -345,6 +347,7 @@
             return;
         }
         ended = true;
+        choice.release();
         deadlineTimer.cancel();
         EndpointAttempt attempt = currentAttempt;
         currentAttempt = null;
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
@@ -50,7 +50,10 @@
             sample(pool.getOwnZoneEndpoints(), FALLBACK_SAMPLES);
             sample(pool.getOtherZoneEndpoints(), FALLBACK_SAMPLES);
         }
-        boolean onlyAvoidedAvailable = selection.best == null && avoid != null && avoid.isAvailable();
+        boolean onlyAvoidedAvailable = selection.best == null
+                && avoid != null
+                && avoid.isAvailable()
+                && avoid.getRequestLimit().maySend(nowNanos);
         return onlyAvoidedAvailable ? avoid : selection.best;
     }
 
@@ -92,7 +95,10 @@
         }
 
         private void consider(@Nullable EndpointState candidate) {
-            if (candidate == null || candidate == avoid || !candidate.isAvailable()) {
+            if (candidate == null
+                    || candidate == avoid
+                    || !candidate.isAvailable()
+                    || !candidate.getRequestLimit().maySend(nowNanos)) {
                 return;
             }
             double score = score(candidate);
--- a/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
@@ -1,17 +1,38 @@
 package org.fuchsiawharf.core.routing;
 
+import java.util.function.LongSupplier;
+
 /**
- * The requests per second that an endpoint accepts from all instances together, as it last named them.
+ * The requests per second that an endpoint accepts from all instances together, and this instance's share of them.
+ *
+ * <p>The share is an interval between two requests of this instance. Unused time is not saved up, so that the instances
+ * together never send a burst.
  *
  * <p>Confined to the decision loop.
  */
 public final class RequestLimit {
     private double perSecond;
-    private long namedNanos = Long.MIN_VALUE;
+    private long firstNamedNanos;
+    private long lastNamedNanos = Long.MIN_VALUE;
+    private long lastSentNanos;
+    private double firstDelayShare;
+    private LongSupplier intervalNanos = () -> 0;
+
+    /**
+     * Sets the share of this instance; called before {@link #onNamed}.
+     *
+     * @param interval gets the interval between two requests of this instance while a limit is named, in nanoseconds, not
+     *     null
+     * @param delayShare the part of the interval that passes between the naming of the limit and the first request, 0 to 1
+     */
+    public void setShare(LongSupplier interval, double delayShare) {
+        intervalNanos = interval;
+        firstDelayShare = delayShare;
+    }
 
     /**
      * Applies the limit of a response. The absence of a limit is ignored if the request was sent before the limit was
-     * named, since its response may be older.
+     * last named, since its response may be older.
      *
      * @param limit the requests per second; 0 if the response names no limit
      * @param sentNanos the time at which the request was sent, in nanoseconds
@@ -19,14 +40,18 @@
      * @return true if the limit changed
      */
     public boolean onNamed(double limit, long sentNanos, long nowNanos) {
-        if (limit == 0 && sentNanos < namedNanos) {
+        if (limit == 0 && sentNanos < lastNamedNanos) {
             return false;
         }
+        if (limit > 0) {
+            lastNamedNanos = nowNanos;
+            if (perSecond == 0) {
+                firstNamedNanos = nowNanos;
+                lastSentNanos = Long.MIN_VALUE / 2;
+            }
+        }
         boolean changed = limit != perSecond;
         perSecond = limit;
-        if (limit > 0 && changed) {
-            namedNanos = nowNanos;
-        }
         return changed;
     }
 
@@ -38,4 +63,36 @@
     public double getPerSecond() {
         return perSecond;
     }
+
+    /**
+     * Checks whether this instance may send a request now.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     * @return true if there is no limit, or the interval has passed
+     */
+    public boolean maySend(long nowNanos) {
+        return nowNanos >= getNextSendNanos();
+    }
+
+    /**
+     * Gets the time from which this instance may send a request.
+     *
+     * @return the time in nanoseconds; {@link Long#MIN_VALUE} if there is no limit
+     */
+    public long getNextSendNanos() {
+        if (perSecond == 0) {
+            return Long.MIN_VALUE;
+        }
+        long interval = intervalNanos.getAsLong();
+        return Math.max(lastSentNanos + interval, firstNamedNanos + (long) (firstDelayShare * interval));
+    }
+
+    /**
+     * Records that a request of any kind is sent to the endpoint.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onSent(long nowNanos) {
+        lastSentNanos = nowNanos;
+    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
@@ -23,6 +23,7 @@
     private final LatencyEstimate serviceTime = new LatencyEstimate(0);
     private double meanOthersInFlight;
     private HashRing ring = HashRing.of(List.of());
+    private boolean requestReserved;
 
     /**
      * Creates an empty pool.
@@ -122,6 +123,22 @@
         meanOthersInFlight += OTHERS_SMOOTHING * (state.getOthersInFlight() - meanOthersInFlight);
     }
 
+    /**
+     * Reserves the next request to the endpoints of the pool.
+     *
+     * @return false if it is reserved already
+     */
+    public boolean reserveRequest() {
+        boolean free = !requestReserved;
+        requestReserved = true;
+        return free;
+    }
+
+    /** Ends the reservation of the next request. */
+    public void releaseRequest() {
+        requestReserved = false;
+    }
+
     /**
      * Replaces the endpoints.
      *
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/FakePieceCalls.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/FakePieceCalls.java
@@ -15,6 +15,8 @@
 public final class FakePieceCalls implements PieceCalls {
     /** All calls, in the order of sending. */
     final List<SentCall> sent = new ArrayList<>();
+    /** Number of calls that released results. */
+    int releaseCalls;
     /** All released handles. */
     final List<String> releasedHandles = new ArrayList<>();
 
@@ -77,6 +79,7 @@
 
     @Override
     public void release(Endpoint endpoint, List<String> handles, Runnable onReleased) {
+        releaseCalls++;
         releasedHandles.addAll(handles);
         onReleased.run();
     }
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFleetStagePool.java
@@ -1,16 +1,20 @@
 package org.fuchsiawharf.core.pieces;
 
 import java.util.List;
+import java.util.Objects;
 
 import org.fuchsiawharf.core.pieces.PieceCalls.AnswerKind;
 import org.fuchsiawharf.core.port.CallFailure;
+import org.fuchsiawharf.core.routing.RequestLimit;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -313,6 +317,30 @@
         assertThat(fixture.count(PieceResult.Status.DONE), is(1L));
     }
 
+    @Test
+    void callsReleasesAndReportsStayWithinRequestLimitOfEndpoint() {
+        PoolFixture fixture = new PoolFixture(4, 100, "a");
+        RequestLimit limit =
+                Objects.requireNonNull(fixture.table.getEndpoint("e0")).getRequestLimit();
+        limit.setShare(() -> 1_000 * PoolFixture.MILLI, 0);
+        limit.onNamed(1, 0, 0);
+        for (int i = 0; i < 100; i++) {
+            fixture.submit("r" + i, 2, fixture.terms(20_000, LONG_DEADLINE_MILLIS));
+            fixture.advance(100);
+            if (!fixture.calls.sent.isEmpty() && !fixture.calls.last().isEnded()) {
+                if (i % 20 < 10) {
+                    fixture.calls.last().answerProduced();
+                } else {
+                    fixture.calls.last().answer(AnswerKind.NO_SPACE);
+                }
+            }
+            fixture.pool.release(
+                    fixture.results.stream().map(PieceResult::handle).toList());
+        }
+        int requests = fixture.calls.sent.size() + fixture.calls.releaseCalls + fixture.calls.freeSpaceRequests.size();
+        assertThat(requests, is(both(greaterThan(5)).and(lessThan(12))));
+    }
+
     @Test
     void countsQueuedPiecesByRank() {
         PoolFixture fixture = new PoolFixture(1, 100, "a");
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -12,6 +12,7 @@
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
+import org.fuchsiawharf.core.limits.RequestShares;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.log.Meters;
 import org.fuchsiawharf.core.member.Member;
@@ -314,6 +315,7 @@
                 this::callEngine,
                 budget,
                 new IdleConnectionLimits(() -> 1),
+                new RequestShares(members, instanceRandom),
                 admission,
                 timers,
                 instanceRandom,
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -8,6 +8,7 @@
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
+import org.fuchsiawharf.core.limits.RequestShares;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.log.Meters;
 import org.fuchsiawharf.core.member.Member;
@@ -86,6 +87,7 @@
                 endpointCalls == null ? calls : endpointCalls,
                 budget,
                 new IdleConnectionLimits(() -> 1),
+                new RequestShares(members, random),
                 new ObjectiveAdmission(),
                 timers,
                 random,
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -10,6 +10,7 @@
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
+import org.fuchsiawharf.core.limits.RequestShares;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.loop.TaskLoop;
 import org.fuchsiawharf.core.member.Member;
@@ -124,6 +125,7 @@
                 calls,
                 retryBudget,
                 new IdleConnectionLimits(members::size),
+                new RequestShares(members, random),
                 new ObjectiveAdmission(),
                 timers,
                 random,
