--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -180,7 +180,7 @@
                 }
             }
         }
-        if (!queue.isEmpty() && (idleEndpointLeft || endpoints.isAnyBackingOff(usable))) {
+        if (!queue.isEmpty() && (idleEndpointLeft || endpoints.isAnyBlocked(usable))) {
             scheduleRecheck();
         }
     }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
@@ -61,7 +61,7 @@
      * Checks whether any of the endpoints is backing off or limits requests, so that its slots become idle without a
      * further event.
      */
-    boolean isAnyBackingOff(List<EndpointState> candidates) {
+    boolean isAnyBlocked(List<EndpointState> candidates) {
         return candidates.stream()
                 .anyMatch(e -> isBackingOff(e.getEndpoint().name())
                         || !e.getRequestLimit().maySend(timers.now()));
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
@@ -59,6 +59,17 @@
 
     // -----------------------------------------------------------------------
 
+    @Test
+    void requestsBeyondLimitNamedInResponseAreRefusedAtOnce() throws Exception {
+        endpoint.then((request, socket) ->
+                write(socket, head(request, 200) + "Wharf-Request-Limit: 0.001\r\nContent-Length: 2\r\n\r\nok"));
+        assertThat(send("/get/a", "id-1").status(), is(200));
+        RawMessage refused = send("/get/b", "id-2");
+        assertThat(refused.status(), is(503));
+        assertThat(refused.field("retry-after"), is(notNullValue()));
+        assertThat(endpoint.requests, hasSize(1));
+    }
+
     /** Responses that are incomplete, malformed or not produced by the endpoint. */
     static Stream<Arguments> brokenAnswers() {
         return Stream.of(
