--- a/core/src/main/java/org/fuchsiawharf/core/pieces/LiveMembers.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/LiveMembers.java
@@ -37,8 +37,8 @@
     }
 
     /** Applies a list of the store; returns true if the members changed. */
-    boolean setListed(Collection<Member> members) {
-        listed = List.copyOf(members);
+    boolean setListed(Collection<Member> listedMembers) {
+        listed = List.copyOf(listedMembers);
         return update();
     }
 
