Log processor, network and idle slots of an owner

Callers of a service whose owner is small got late answers or refusals, and the logs could not tell why: calls took 1.3 to 1.5 times as long as specified and endpoints stood idle while pieces were queued, which fits an exhausted processor, an exhausted link, collections and late dispatches alike.

instance.load now has cpu_ms, gc_ms, bytes_in, bytes_out and pieces_waiting for its interval. The bytes are counted by one handler that the I/O thread adds to each channel it registers, so that connections of callers, endpoints, peers and the store are covered without code of their own. The same values go to the metrics. No decision changes.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -58,6 +58,7 @@
     private final ResultSpace resultSpace = new ResultSpace();
     private final Map<String, List<PieceTask>> tasksByRequest = new HashMap<>();
     private final StageEndpoints endpoints;
+    private final SlotIdleTimes slotIdleTimes = new SlotIdleTimes();
     private final ResultReleases releases;
     private final ForeignSpaceEstimator foreignSpace;
     private @Nullable PieceService spec;
@@ -105,6 +106,10 @@
         return new StageBacklog(queue.countByRank(), usable.size(), (int) idle);
     }
 
+    int getQueuedCount() {
+        return queue.size();
+    }
+
     private boolean isIdle(EndpointState endpoint) {
         return spec != null && endpoints.hasIdleSlot(endpoint, spec.slots());
     }
@@ -128,6 +133,7 @@
         if (tasks != null) {
             tasks.forEach(PieceTask::finishSilently);
             queue.removeIf(task -> task.finished, task -> {});
+            slotIdleTimes.onQueueChanged(queue.isEmpty(), timers.now());
         }
     }
 
@@ -143,6 +149,7 @@
         queue.removeIf(
                 task -> true,
                 task -> finish(task, PieceResult.notProduced(task.order.id(), PieceResult.Status.WITHDRAWN)));
+        slotIdleTimes.onQueueChanged(queue.isEmpty(), timers.now());
     }
 
     @Override
@@ -180,6 +187,7 @@
                 }
             }
         }
+        slotIdleTimes.onQueueChanged(queue.isEmpty(), now);
         if (!queue.isEmpty() && (idleEndpointLeft || endpoints.isAnyBlocked(usable))) {
             scheduleRecheck();
         }
@@ -217,6 +225,7 @@
         }
         meters.count("stage_calls", service);
         meters.count("stage_pieces", service, batch.size());
+        meters.time("stage_idle_seconds", service, call.start.idleNanos());
         call.send();
     }
 
@@ -287,7 +296,8 @@
                     batch.size(),
                     expectedNanos,
                     queue.size(),
-                    foreignSpace.estimateFreeBytes(endpoint.getEndpoint(), pieceSpec.resultSpaceBytes()));
+                    foreignSpace.estimateFreeBytes(endpoint.getEndpoint(), pieceSpec.resultSpaceBytes()),
+                    slotIdleTimes.onCallStarted(name, sentNanos));
             this.stuckTimer = timers.schedule(
                     sentNanos + (long) (STUCK_FACTOR * expectedNanos) + STUCK_SLACK_NANOS, this::onStuck);
             this.abandonTimer = timers.schedule(sentNanos + (long) (ABANDON_FACTOR * expectedNanos), this::onAbandoned);
@@ -306,6 +316,7 @@
             stuckTimer.cancel();
             abandonTimer.cancel();
             endpoints.onEnded(endpoint);
+            slotIdleTimes.onCallEnded(name, timers.now());
         }
 
         @Override
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StageCallLog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StageCallLog.java
@@ -21,8 +21,9 @@
      * @param expectedNanos the expected duration, in nanoseconds
      * @param queued the number of pieces that stayed in the queue
      * @param freeBytes the free space for results at the endpoint, in bytes
+     * @param idleNanos the time for which the slot had been idle while pieces were queued, in nanoseconds
      */
-    record Start(String endpoint, int pieces, double expectedNanos, int queued, long freeBytes) {}
+    record Start(String endpoint, int pieces, double expectedNanos, int queued, long freeBytes, long idleNanos) {}
 
     void writeAnswered(Start start, long tookNanos, int queued) {
         log.write(
@@ -42,7 +43,9 @@
                 "waiting_at_start",
                 start.queued(),
                 "free_bytes_at_start",
-                start.freeBytes());
+                start.freeBytes(),
+                "idle_ms",
+                start.idleNanos() / NANOS_PER_MILLI);
     }
 
     void writeFailed(Start start, String failure, String detail, long tookNanos) {
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -226,6 +226,15 @@
         return outstanding.size();
     }
 
+    /**
+     * Gets the number of pieces that are queued in the pools of this instance.
+     *
+     * @return the count, at least 0
+     */
+    public int getQueuedCount() {
+        return pools.values().stream().mapToInt(FleetStagePool::getQueuedCount).sum();
+    }
+
     // -----------------------------------------------------------------------
 
     /**
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/PoolFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/PoolFixture.java
@@ -27,13 +27,19 @@
     final FakePieceCalls calls = new FakePieceCalls();
     final EndpointTable table = new EndpointTable("a", NoConcurrencyLimit::new);
     final SharedRetryBudget budget = new SharedRetryBudget(0.2, 1_000, 10_000 * MILLI, () -> 1, timers::now);
-    final PoolContext context =
-            new PoolContext(table, new OutlierEjection(), calls, timers, budget, DecisionLog.NONE, Meters.NONE);
-    final FleetStagePool pool = new FleetStagePool(SERVICE, context);
+    final PoolContext context;
+    final FleetStagePool pool;
     final List<PieceResult> results = new ArrayList<>();
 
     /** Creates a fixture with one endpoint in each given zone and the given maximum of pieces in a batch. */
     PoolFixture(int batch, double resultSpaceMb, String... zones) {
+        this(DecisionLog.NONE, batch, resultSpaceMb, zones);
+    }
+
+    /** Creates a fixture whose pool writes its decisions to a log. */
+    PoolFixture(DecisionLog log, int batch, double resultSpaceMb, String... zones) {
+        context = new PoolContext(table, new OutlierEjection(), calls, timers, budget, log, Meters.NONE);
+        pool = new FleetStagePool(SERVICE, context);
         listEndpoints(zones);
         pool.setSpec(new PieceService(1, 2, batch, 200, 20, resultSpaceMb, 4_000));
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/IoThread.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/IoThread.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -16,8 +18,15 @@
 public final class IoThread implements AutoCloseable {
     private static final long SHUTDOWN_MILLIS = 500;
 
+    private final TrafficCounter traffic = new TrafficCounter();
     private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("io", true), NioIoHandler.newFactory());
+            new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("io", true), NioIoHandler.newFactory()) {
+                @Override
+                public ChannelFuture register(Channel channel) {
+                    channel.pipeline().addFirst(traffic);
+                    return super.register(channel);
+                }
+            };
 
     /** Creates the thread, which starts with its first task. */
     public IoThread() {}
@@ -40,6 +49,15 @@
         return group.next();
     }
 
+    /**
+     * Gets the counter of the bytes of all connections.
+     *
+     * @return the counter, never null
+     */
+    public TrafficCounter getTraffic() {
+        return traffic;
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(2 * SHUTDOWN_MILLIS);
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -63,6 +63,7 @@
     private final MicrometerMeters meters;
     private final TaskLoop loop;
     private final IoThread ioThread = new IoThread();
+    private final ProcessUsage usage = new ProcessUsage();
     private final HttpClient client;
     private final RequestLimitReader limitReader;
     private final MemberTable members;
@@ -176,6 +177,14 @@
     }
 
     private void reportLoad() {
+        long cpuMillis = usage.takeCpuMillis();
+        long collectionMillis = usage.takeCollectionMillis();
+        long receivedBytes = ioThread.getTraffic().takeReceivedBytes();
+        long sentBytes = ioThread.getTraffic().takeSentBytes();
+        meters.count("process_millis", "cpu", cpuMillis);
+        meters.count("process_millis", "gc", collectionMillis);
+        meters.count("network_bytes", "in", receivedBytes);
+        meters.count("network_bytes", "out", sentBytes);
         log.write(
                 "instance.load",
                 "loop_delay_ms",
@@ -185,7 +194,17 @@
                 "peers",
                 peers.getConnectedPeers().size(),
                 "pieces_outstanding",
-                pools.getOutstandingCount());
+                pools.getOutstandingCount(),
+                "pieces_waiting",
+                pools.getQueuedCount(),
+                "cpu_ms",
+                cpuMillis,
+                "gc_ms",
+                collectionMillis,
+                "bytes_in",
+                receivedBytes,
+                "bytes_out",
+                sentBytes);
         TimerService timers = loop.getTimers();
         timers.schedule(timers.now() + LOAD_REPORT_NANOS, this::reportLoad);
     }
