Simulate instances with bounded processors and links, and a fleet whose owners fall short

No test on the decisions alone could show it: the instances of FleetSimulation handled and sent every message at once.

SimulatedHost gives an instance one processor, which handles peer messages, answers of endpoints and own requests one after the other, and a link of bounded rate in each direction. Unbounded hosts stay the default. SimulatedPeers computes its connected peers once, which shortens the runs without changing their results.

Timers of an instance, streams of engines and bodies of callers cost nothing.

--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -2,12 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
@@ -32,12 +38,14 @@
 import org.fuchsiawharf.core.routing.EndpointTable;
 import org.fuchsiawharf.core.routing.ExpectedCompletionSelector;
 import org.fuchsiawharf.core.time.TimerService;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Simulates a fleet of instances under an open-loop load and counts the outcomes, on virtual time and without a
  * network.
  *
- * <p>Engines respond after the prefill of the prompt; {@link SimulatedStage} supplies the stage endpoints. Confined to
+ * <p>Engines respond after the prefill of the prompt; {@link SimulatedStage} supplies the stage endpoints, and
+ * {@link SimulatedHost} the processors and links of the instances, which are unbounded by default. Confined to
  * the test's thread.
  */
 final class FleetSimulation {
@@ -114,8 +122,10 @@
     private final List<EndpointStatus> listing = new ArrayList<>();
     private final List<RelayInstance> instances = new ArrayList<>();
     private final Map<String, StagePools> poolsByName = new HashMap<>();
+    private final Map<String, SimulatedHost> hostsByName = new TreeMap<>();
     private final Map<String, OutcomeCounts> countsByKind = new TreeMap<>();
     private final Map<String, Burst> bursts = new HashMap<>();
+    private @Nullable ToDoubleFunction<Member> linkMbps;
     private DecisionLog log = DecisionLog.NONE;
     private int nextId;
     private double deadlineSpread;
@@ -139,10 +149,15 @@
 
     /** Runs the simulation at a multiple of the usual rates and returns the counts by kind. */
     Map<String, OutcomeCounts> run(int instanceCount, double loadFactor, long seconds) {
+        return run(Collections.nCopies(instanceCount, 1.0), loadFactor, seconds);
+    }
+
+    /** Runs the simulation with one instance for each given capacity, in cores. */
+    Map<String, OutcomeCounts> run(List<Double> capacities, double loadFactor, long seconds) {
         listEndpoints();
         List<Member> members = new ArrayList<>();
-        for (int i = 0; i < instanceCount; i++) {
-            members.add(new Member("m" + i, 1, ZONES.get(i % 3), "10.1.0." + i, 7_000, 1));
+        for (int i = 0; i < capacities.size(); i++) {
+            members.add(new Member("m" + i, 1, ZONES.get(i % 3), "10.1.0." + i, 7_000, capacities.get(i)));
         }
         members.forEach(member -> instances.add(newInstance(member, members)));
         for (RequestClass kind : kinds) {
@@ -183,6 +198,20 @@
         return this;
     }
 
+    /** Bounds each instance by a processor of its capacity and a link of the given rate, in Mbit/s. */
+    FleetSimulation boundInstances(ToDoubleFunction<Member> linkRate) {
+        linkMbps = linkRate;
+        return this;
+    }
+
+    /** Gets the largest share of any of the given seconds for which the processor of an instance was busy. */
+    double getMaxBusyShare(long fromSecond, long toSecond) {
+        return hostsByName.values().stream()
+                .flatMapToDouble(host -> LongStream.range(fromSecond, toSecond).mapToDouble(host::getBusyShare))
+                .max()
+                .orElse(0);
+    }
+
     /** Writes the decisions of all instances to a log. */
     FleetSimulation logTo(DecisionLog decisionLog) {
         log = decisionLog;
@@ -235,7 +264,7 @@
                 List.of("session" + random.nextInt(160), "own" + nextId),
                 pieces,
                 "key");
-        instances.get(random.nextInt(instances.size())).onRequest(request, new CallerExchange() {
+        CallerExchange exchange = new CallerExchange() {
             @Override
             public void refuse(Refusal refusal) {
                 if (firstAttempt && refusal.retryAfterMillis() > 0) {
@@ -267,7 +296,10 @@
             public void abort() {
                 counts.refusedOrAborted++;
             }
-        });
+        };
+        int index = random.nextInt(instances.size());
+        int pieceCount = pieces.stream().mapToInt(count -> count).sum();
+        host("m" + index).handle(pieceCount, () -> instances.get(index).onRequest(request, exchange));
     }
 
     // -----------------------------------------------------------------------
@@ -284,8 +316,7 @@
         }
     }
 
-    private void addEndpoint(
-            String name, String service, int index, int host, @org.jspecify.annotations.Nullable PieceService spec) {
+    private void addEndpoint(String name, String service, int index, int host, @Nullable PieceService spec) {
         Endpoint endpoint = new Endpoint(name, service, ZONES.get(index % 3), "10.2.0." + host, 80);
         listing.add(new EndpointStatus(endpoint, false));
         if (spec != null) {
@@ -293,7 +324,15 @@
         }
     }
 
+    private SimulatedHost host(String member) {
+        return Objects.requireNonNull(hostsByName.get(member));
+    }
+
     private RelayInstance newInstance(Member self, List<Member> all) {
+        SimulatedHost host = linkMbps == null
+                ? SimulatedHost.unbounded(timers)
+                : SimulatedHost.of(timers, self.capacity(), linkMbps.applyAsDouble(self));
+        hostsByName.put(self.name(), host);
         MemberTable members = new MemberTable(self);
         if (sharedPools) {
             members.replace(all);
@@ -304,7 +343,8 @@
         StagePools pools = new StagePools(
                 members,
                 new SimulatedPeers(self.name(), all),
-                new PoolContext(table, health, stageEndpoints, timers, budget, DecisionLog.NONE, Meters.NONE));
+                new PoolContext(
+                        table, health, host.connect(stageEndpoints), timers, budget, DecisionLog.NONE, Meters.NONE));
         poolsByName.put(self.name(), pools);
         SplittableRandom instanceRandom = random.split();
         RelayInstance instance = new RelayInstance(new RelayContext(
@@ -356,11 +396,14 @@
     /** Delivers peer messages after the delay of one network hop. */
     private final class SimulatedPeers implements PeerPort {
         private final String self;
-        private final List<Member> all;
+        private final Set<String> connected;
 
         private SimulatedPeers(String self, List<Member> all) {
             this.self = self;
-            this.all = all;
+            this.connected = all.stream()
+                    .map(Member::name)
+                    .filter(name -> sharedPools && !name.equals(self))
+                    .collect(Collectors.toCollection(LinkedHashSet::new));
         }
 
         @Override
@@ -368,8 +411,14 @@
 
         @Override
         public boolean send(String member, PeerMessage message) {
-            timers.schedule(timers.now() + HOP_NANOS, () -> Objects.requireNonNull(poolsByName.get(member))
-                    .onMessage(self, message));
+            StagePools receiver = Objects.requireNonNull(poolsByName.get(member));
+            int pieceCount = SimulatedHost.countPieces(message);
+            long bytes = SimulatedHost.countBytes(message);
+            host(self)
+                    .send(
+                            bytes,
+                            () -> timers.schedule(timers.now() + HOP_NANOS, () -> host(member)
+                                    .receive(pieceCount, bytes, () -> receiver.onMessage(self, message))));
             return true;
         }
 
@@ -378,17 +427,12 @@
 
         @Override
         public boolean isConnected(String member) {
-            return getConnectedPeers().contains(member);
+            return connected.contains(member);
         }
 
         @Override
         public Collection<String> getConnectedPeers() {
-            return sharedPools
-                    ? all.stream()
-                            .map(Member::name)
-                            .filter(name -> !name.equals(self))
-                            .toList()
-                    : List.of();
+            return connected;
         }
     }
 }
