Keep queued pieces in order, so that a batch does not examine the whole backlog

Callers saw too little served in bursts on the grown deployments, where one instance queues the pieces of a service for the fleet.

Cause: PieceQueue.take examined, copied and sorted all queued pieces for every idle endpoint at each dispatch, also if nothing could be sent; each dispatch walked the queue for expired pieces, and each answered piece walked it again to remove itself. The work of the owner grew with the square of its backlog.

The pieces are now grouped by what an offer distinguishes (zone, wait across zones, size of the result, endpoints at which they failed), and each group is kept in order. A batch is merged from the heads of the groups. Pieces that miss their due time move once, found through an order by due time; expired pieces are found through an order by deadline. Adding and removing a piece take logarithmic time; counts by rank are maintained.

TestPieceQueueDecisions compares every decision with a plain sort and passes before and after; it now also covers single removals and expiry.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -132,7 +132,7 @@
         List<PieceTask> tasks = tasksByRequest.remove(requestId);
         if (tasks != null) {
             tasks.forEach(PieceTask::finishSilently);
-            queue.removeIf(task -> task.finished, task -> {});
+            tasks.forEach(queue::remove);
             slotIdleTimes.onQueueChanged(queue.isEmpty(), timers.now());
         }
     }
@@ -169,9 +169,8 @@
         }
         long now = timers.now();
         long minCallNanos = (long) (pieceSpec.callMillisFor(1) * NANOS_PER_MILLI);
-        queue.removeIf(
-                task -> now + minCallNanos > task.order.terms().deadlineNanos(),
-                task -> finish(task, PieceResult.notProduced(task.order.id(), PieceResult.Status.LATE)));
+        queue.removeExpired(now + minCallNanos)
+                .forEach(task -> finish(task, PieceResult.notProduced(task.order.id(), PieceResult.Status.LATE)));
         queue.grantRetries(() -> budget.trySpend(service));
         boolean idleEndpointLeft = false;
         for (EndpointState endpoint : usable) {
@@ -344,7 +343,7 @@
                 if (task.finished) {
                     release(List.of(answer.handle()));
                 } else {
-                    queue.removeIf(other -> other == task, other -> {});
+                    queue.remove(task);
                     removeTask(task);
                     task.finishSilently();
                     produced.computeIfAbsent(task.listener, l -> new ArrayList<>())
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
@@ -1,10 +1,15 @@
 package org.fuchsiawharf.core.pieces;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.Iterator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -18,19 +23,27 @@
  * other than that of its result only after a wait that grows with the bytes to transfer, unless enough pieces are
  * queued to fill a batch: a call with a partial batch costs more than the transfer.
  *
+ * <p>Each group of pieces that an offer treats alike is kept in order, so that a batch is merged from the heads of the
+ * groups without a visit to the rest of the queue. A queued piece is not finished, is queued once, and either awaits
+ * the retry budget or belongs to exactly one group. To add or remove a piece takes time logarithmic in the queue.
+ *
  * <p>Confined to the decision loop.
  */
 final class PieceQueue {
-    /** Delay that each rank adds to the due time; about half a stage call. */
-    private static final long RANK_DELAY_NANOS = 150_000_000L;
-    /** Delay added if a piece cannot meet its due time; exceeds the spread of all latency objectives. */
-    private static final long MISSED_DUE_DELAY_NANOS = 10_000_000_000L;
-    /** Maximum wait before a piece is sent to another availability zone; about half a stage call. */
-    private static final long MAX_CROSS_ZONE_WAIT_NANOS = 100_000_000L;
-    /** Wait for each kilobyte to transfer between zones; 500 kB reach the maximum wait. */
-    private static final long CROSS_ZONE_WAIT_NANOS_PER_KB = 200_000L;
+    private final Map<PieceTask, QueuedPiece> queued = new LinkedHashMap<>();
+    private final Map<PieceGroup, TreeSet<QueuedPiece>> groups = new HashMap<>();
+    /** The pieces in groups that can meet their due time. */
+    private final TreeSet<QueuedPiece> onTime = new TreeSet<>(QueuedPiece.BY_DUE_TIME);
+    /** The pieces in groups that cannot meet their due time. */
+    private final TreeSet<QueuedPiece> missed = new TreeSet<>(QueuedPiece.BY_DUE_TIME);
+
+    private final TreeSet<QueuedPiece> awaitingRetryBudget = new TreeSet<>(QueuedPiece.BY_DUE_TIME);
+    private final TreeSet<QueuedPiece> byDeadline = new TreeSet<>(QueuedPiece.BY_DEADLINE);
+    private final int[] countByRank = new int[StageBacklog.RANKS];
+    /** The completion time of a call that starts now, as of the last offer; earlier due times are missed. */
+    private long completionNanos = Long.MIN_VALUE;
 
-    private final List<PieceTask> queued = new ArrayList<>();
+    private long nextSequence;
 
     /**
      * The capacity that an endpoint offers for one batch.
@@ -43,8 +56,23 @@
      */
     record Offer(String endpoint, String zone, int batchSize, long spaceBytes, long callNanos) {}
 
+    /**
+     * Adds a piece that is not queued.
+     *
+     * @throws IllegalStateException if the piece is queued already
+     */
     void add(PieceTask task) {
-        queued.add(task);
+        QueuedPiece piece = new QueuedPiece(task, PieceGroup.of(task), nextSequence++);
+        if (queued.putIfAbsent(task, piece) != null) {
+            throw new IllegalStateException("piece is queued already: " + task.order.id());
+        }
+        byDeadline.add(piece);
+        countByRank[rankIndex(piece)]++;
+        if (task.awaitsRetryBudget) {
+            awaitingRetryBudget.add(piece);
+        } else {
+            addToGroup(piece);
+        }
     }
 
     boolean isEmpty() {
@@ -57,87 +85,117 @@
 
     /** Removes and returns the pieces of the next batch, the most urgent first; empty if none should be sent now. */
     List<PieceTask> take(Offer offer, long now, Predicate<String> isZoneServed, Collection<String> usableEndpoints) {
-        record Candidate(PieceTask task, long sortKey) {}
-        List<Candidate> candidates = new ArrayList<>();
-        boolean fillsBatch = queued.size() >= offer.batchSize();
-        for (PieceTask task : queued) {
-            if (isAllowed(task, offer, usableEndpoints)) {
-                long wait = crossZoneWait(task, offer.zone(), isZoneServed);
-                if (fillsBatch || now - task.queuedNanos >= wait) {
-                    candidates.add(new Candidate(task, sortKey(task, now + offer.callNanos()) + wait));
-                }
+        setCompletion(now + offer.callNanos());
+        PriorityQueue<GroupCursor> cursors = new PriorityQueue<>(GroupCursor.BY_URGENCY);
+        groups.forEach((group, pieces) -> {
+            if (group.isAllowedAt(offer.endpoint(), usableEndpoints)) {
+                cursors.add(new GroupCursor(pieces, group.crossZoneWaitNanos(offer.zone(), isZoneServed)));
             }
-        }
-        candidates.sort(Comparator.comparingLong(Candidate::sortKey));
+        });
+        boolean fillsBatch = queued.size() >= offer.batchSize();
         List<PieceTask> batch = new ArrayList<>();
         long remainingBytes = offer.spaceBytes();
-        for (Candidate candidate : candidates) {
-            long bytes = candidate.task().order.terms().resultBytes();
-            if (batch.size() < offer.batchSize() && bytes <= remainingBytes) {
-                batch.add(candidate.task());
+        while (batch.size() < offer.batchSize() && !cursors.isEmpty()) {
+            GroupCursor cursor = cursors.remove();
+            QueuedPiece piece = cursor.getHead();
+            long bytes = piece.group.resultBytes();
+            // The other pieces of the group exceed the free space too.
+            if (bytes > remainingBytes) {
+                continue;
+            }
+            if (fillsBatch || now - piece.task.queuedNanos >= cursor.getWaitNanos()) {
+                batch.add(piece.task);
                 remainingBytes -= bytes;
             }
+            if (cursor.advance()) {
+                cursors.add(cursor);
+            }
         }
-        queued.removeAll(batch);
+        batch.forEach(this::remove);
         return batch;
     }
 
-    private static boolean isAllowed(PieceTask task, Offer offer, Collection<String> usableEndpoints) {
-        return !task.awaitsRetryBudget
-                && (!task.failedEndpoints.contains(offer.endpoint())
-                        || task.failedEndpoints.containsAll(usableEndpoints));
-    }
-
     /** Lets the pieces that await the retry budget be sent again, the earliest due first, while it can be spent. */
     void grantRetries(BooleanSupplier trySpend) {
-        List<PieceTask> awaiting = queued.stream()
-                .filter(task -> task.awaitsRetryBudget)
-                .sorted(Comparator.comparingLong(task -> task.order.terms().dueNanos()))
-                .toList();
-        for (PieceTask task : awaiting) {
-            if (!trySpend.getAsBoolean()) {
-                return;
-            }
-            task.awaitsRetryBudget = false;
+        while (!awaitingRetryBudget.isEmpty() && trySpend.getAsBoolean()) {
+            QueuedPiece piece = awaitingRetryBudget.first();
+            awaitingRetryBudget.remove(piece);
+            piece.task.awaitsRetryBudget = false;
+            addToGroup(piece);
         }
     }
 
-    /** Removes all matching pieces, then passes each to an action. */
-    void removeIf(Predicate<PieceTask> condition, Consumer<PieceTask> action) {
-        List<PieceTask> removed = new ArrayList<>();
-        for (Iterator<PieceTask> i = queued.iterator(); i.hasNext(); ) {
-            PieceTask task = i.next();
-            if (condition.test(task)) {
-                i.remove();
-                removed.add(task);
-            }
+    /** Removes a piece if it is queued. */
+    void remove(PieceTask task) {
+        QueuedPiece piece = queued.remove(task);
+        if (piece == null) {
+            return;
         }
+        byDeadline.remove(piece);
+        countByRank[rankIndex(piece)]--;
+        if (!awaitingRetryBudget.remove(piece)) {
+            removeFromGroup(piece);
+        }
+    }
+
+    /** Removes and returns the pieces whose deadline is before the given time, in the order in which they were added. */
+    List<PieceTask> removeExpired(long nanos) {
+        List<QueuedPiece> expired = new ArrayList<>();
+        while (!byDeadline.isEmpty() && byDeadline.first().getDeadlineNanos() < nanos) {
+            QueuedPiece piece = byDeadline.first();
+            expired.add(piece);
+            remove(piece.task);
+        }
+        expired.sort(Comparator.comparingLong(piece -> piece.sequence));
+        return expired.stream().map(piece -> piece.task).toList();
+    }
+
+    /** Removes all matching pieces, then passes each to an action; visits the whole queue. */
+    void removeIf(Predicate<PieceTask> condition, Consumer<PieceTask> action) {
+        List<PieceTask> removed = queued.keySet().stream().filter(condition).toList();
+        removed.forEach(this::remove);
         removed.forEach(action);
     }
 
     /** Counts the queued pieces of each rank. */
     List<Integer> countByRank() {
-        Integer[] counts = {0, 0, 0, 0, 0, 0};
-        for (PieceTask task : queued) {
-            counts[
-                    Math.min(
-                            StageBacklog.RANKS - 1,
-                            Math.max(0, task.order.terms().rank()))]++;
-        }
-        return List.of(counts);
+        return Arrays.stream(countByRank).boxed().toList();
     }
 
-    private static long sortKey(PieceTask task, long completionNanos) {
-        PieceTerms terms = task.order.terms();
-        long sortKey = terms.dueNanos() + terms.rank() * RANK_DELAY_NANOS;
-        return completionNanos > terms.dueNanos() ? sortKey + MISSED_DUE_DELAY_NANOS : sortKey;
+    // -----------------------------------------------------------------------
+
+    private void addToGroup(QueuedPiece piece) {
+        piece.setMissed(piece.getDueNanos() < completionNanos);
+        (piece.isMissed() ? missed : onTime).add(piece);
+        groups.computeIfAbsent(piece.group, g -> new TreeSet<>(QueuedPiece.BY_URGENCY))
+                .add(piece);
     }
 
-    private static long crossZoneWait(PieceTask task, String zone, Predicate<String> isZoneServed) {
-        PieceTerms terms = task.order.terms();
-        if (terms.zone().isEmpty() || terms.zone().equals(zone) || !isZoneServed.test(terms.zone())) {
-            return 0;
+    private void removeFromGroup(QueuedPiece piece) {
+        (piece.isMissed() ? missed : onTime).remove(piece);
+        TreeSet<QueuedPiece> pieces = groups.get(piece.group);
+        if (pieces != null && pieces.remove(piece) && pieces.isEmpty()) {
+            groups.remove(piece.group);
         }
-        return Math.min(MAX_CROSS_ZONE_WAIT_NANOS, terms.crossZoneBytes() / 1_000 * CROSS_ZONE_WAIT_NANOS_PER_KB);
+    }
+
+    // The completion time decreases only if a new configuration shortens the calls.
+    private void setCompletion(long nanos) {
+        completionNanos = nanos;
+        while (!onTime.isEmpty() && onTime.first().getDueNanos() < nanos) {
+            reorder(onTime.first());
+        }
+        while (!missed.isEmpty() && missed.last().getDueNanos() >= nanos) {
+            reorder(missed.last());
+        }
+    }
+
+    private void reorder(QueuedPiece piece) {
+        removeFromGroup(piece);
+        addToGroup(piece);
+    }
+
+    private static int rankIndex(QueuedPiece piece) {
+        return Math.min(StageBacklog.RANKS - 1, Math.max(0, piece.getRank()));
     }
 }
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestPieceQueueDecisions.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestPieceQueueDecisions.java
@@ -20,6 +20,9 @@
 
     private final PieceQueue queue = new PieceQueue();
     private final ReferencePieceQueue reference = new ReferencePieceQueue();
+    /** All pieces that were added to the queue, also those that have left it. */
+    private final List<PieceTask> tasks = new ArrayList<>();
+
     private long now = 1_000 * MILLI;
     private int added;
 
@@ -34,6 +37,7 @@
                 case 4, 5 -> takeBatch(random);
                 case 6 -> expire();
                 case 7 -> removeRequest(random);
+                case 8 -> removePiece(random);
                 default -> grantRetries(random.nextInt(4));
             }
             assertThat(queue.countByRank(), is(reference.countByRank()));
@@ -53,7 +57,9 @@
         List<String> failed = ENDPOINTS.subList(0, random.nextInt(4) == 0 ? 1 + random.nextInt(3) : 0);
         for (int i = 0; i < 1 + random.nextInt(6); i++) {
             PieceOrder order = PoolFixture.order("r" + added++, stage, terms);
-            queue.add(task(order, refused, failed));
+            PieceTask task = task(order, refused, failed);
+            tasks.add(task);
+            queue.add(task);
             reference.add(task(order, refused, failed));
         }
     }
@@ -80,13 +86,19 @@
     }
 
     private void expire() {
-        List<PieceTask> expired = new ArrayList<>();
-        queue.removeIf(task -> now > task.order.terms().deadlineNanos(), expired::add);
         assertThat(
-                ids(expired),
+                ids(queue.removeExpired(now)),
                 is(ids(reference.removeIf(task -> now > task.order.terms().deadlineNanos()))));
     }
 
+    private void removePiece(Random random) {
+        if (!tasks.isEmpty()) {
+            PieceTask task = tasks.get(random.nextInt(tasks.size()));
+            queue.remove(task);
+            reference.removeIf(other -> other.order.id().equals(task.order.id()));
+        }
+    }
+
     private void removeRequest(Random random) {
         String request = "r" + (added - random.nextInt(100));
         List<PieceTask> removed = new ArrayList<>();
