Find expired results through an order by expiry

Every estimate of an endpoint's free space walked all results that the pool holds at any endpoint, several times for each offer and call. The results are now also ordered by expiry, so that only expired ones are visited. No decision changes: results expire at the same time as before. TestFleetStagePool covers expiry and release; no test counts the visits.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ResultSpace.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ResultSpace.java
@@ -1,8 +1,9 @@
 package org.fuchsiawharf.core.pieces;
 
-import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeSet;
 
 import org.jspecify.annotations.Nullable;
 
@@ -14,19 +15,17 @@
  * <p>Confined to the decision loop.
  */
 final class ResultSpace {
-    private record HeldResult(String endpoint, long bytes, long expiresNanos) {}
+    private record HeldResult(String handle, String endpoint, long bytes, long expiresNanos) {}
 
-    private final Map<String, HeldResult> heldByHandle = new LinkedHashMap<>();
-    private final Map<String, Long> usedBytesByEndpoint = new LinkedHashMap<>();
+    private final Map<String, HeldResult> heldByHandle = new HashMap<>();
+    private final TreeSet<HeldResult> byExpiry =
+            new TreeSet<>(Comparator.comparingLong(HeldResult::expiresNanos).thenComparing(HeldResult::handle));
+    private final Map<String, Long> usedBytesByEndpoint = new HashMap<>();
 
     /** Gets the bytes in use at an endpoint, and removes expired results. */
     long getUsedBytes(String endpoint, long now) {
-        for (Iterator<HeldResult> i = heldByHandle.values().iterator(); i.hasNext(); ) {
-            HeldResult held = i.next();
-            if (held.expiresNanos() <= now) {
-                i.remove();
-                addUsed(held.endpoint(), -held.bytes());
-            }
+        while (!byExpiry.isEmpty() && byExpiry.first().expiresNanos() <= now) {
+            free(byExpiry.first().handle());
         }
         return usedBytesByEndpoint.getOrDefault(endpoint, 0L);
     }
@@ -38,10 +37,10 @@
 
     /** Assigns reserved space to a result. */
     void hold(String handle, String endpoint, long bytes, long expiresNanos) {
-        HeldResult previous = heldByHandle.put(handle, new HeldResult(endpoint, bytes, expiresNanos));
-        if (previous != null) {
-            addUsed(previous.endpoint(), -previous.bytes());
-        }
+        free(handle);
+        HeldResult held = new HeldResult(handle, endpoint, bytes, expiresNanos);
+        heldByHandle.put(handle, held);
+        byExpiry.add(held);
     }
 
     /** Gets the name of the endpoint that produced a result, null if unknown. */
@@ -55,6 +54,7 @@
     void free(String handle) {
         HeldResult held = heldByHandle.remove(handle);
         if (held != null) {
+            byExpiry.remove(held);
             addUsed(held.endpoint(), -held.bytes());
         }
     }
