Index unfinished pieces by request

PeerHeartbeats walked all unfinished pieces of an instance for each result, and OutstandingPieces all outstanding pieces for each request that ended or was cancelled. Both now look up the pieces of the request. No decision changes: the added test passes before too, and no test counts the visits.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/OutstandingPieces.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/OutstandingPieces.java
@@ -18,9 +18,12 @@
  */
 final class OutstandingPieces {
     private final Map<PieceId, SentPiece> pieces = new LinkedHashMap<>();
+    private final Map<String, Set<PieceId>> idsByRequest = new HashMap<>();
 
     void add(SentPiece piece) {
-        pieces.put(piece.order.id(), piece);
+        PieceId id = piece.order.id();
+        pieces.put(id, piece);
+        idsByRequest.computeIfAbsent(id.requestId(), r -> new HashSet<>()).add(id);
     }
 
     @Nullable
@@ -30,6 +33,10 @@
 
     void remove(PieceId id) {
         pieces.remove(id);
+        Set<PieceId> ids = idsByRequest.get(id.requestId());
+        if (ids != null && ids.remove(id) && ids.isEmpty()) {
+            idsByRequest.remove(id.requestId());
+        }
     }
 
     int size() {
@@ -45,23 +52,23 @@
     /** Removes the pieces of a request and returns the names of the instances that run them. */
     Set<String> removeRequest(String service, String requestId) {
         Set<String> owners = new HashSet<>();
-        removeIf(piece -> piece.service.equals(service)
-                        && piece.order.id().requestId().equals(requestId))
-                .values()
-                .forEach(list -> list.forEach(piece -> owners.add(piece.owner)));
+        for (PieceId id : List.copyOf(idsByRequest.getOrDefault(requestId, Set.of()))) {
+            SentPiece piece = pieces.get(id);
+            if (piece != null && piece.service.equals(service)) {
+                owners.add(piece.owner);
+                remove(id);
+            }
+        }
         return owners;
     }
 
-    /** Removes all matching pieces and returns them by service. */
+    /** Removes all matching pieces and returns them by service, in the order in which they were added. */
     Map<String, List<SentPiece>> removeIf(Predicate<SentPiece> condition) {
         Map<String, List<SentPiece>> removed = new HashMap<>();
-        pieces.values().removeIf(piece -> {
-            boolean matches = condition.test(piece);
-            if (matches) {
-                removed.computeIfAbsent(piece.service, s -> new ArrayList<>()).add(piece);
-            }
-            return matches;
-        });
+        for (SentPiece piece : pieces.values().stream().filter(condition).toList()) {
+            remove(piece.order.id());
+            removed.computeIfAbsent(piece.service, s -> new ArrayList<>()).add(piece);
+        }
         return removed;
     }
 
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PeerHeartbeats.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PeerHeartbeats.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
 
 /**
  * Tracks which instances wait for pieces that run here, and selects those to which a heartbeat is due.
@@ -38,25 +37,35 @@
     /** Number of connections above which heartbeats to instances that do not wait are sent less often. */
     private static final int FULL_RATE_CONNECTIONS = 16;
 
-    private final Map<String, Set<PieceId>> unfinishedByPeer = new HashMap<>();
+    /** The unfinished pieces by instance and request id. */
+    private final Map<String, Map<String, Set<PieceId>>> unfinishedByPeer = new HashMap<>();
+
     private long ticks;
 
     void onSubmitted(String peer, List<PieceOrder> orders) {
-        Set<PieceId> unfinished = unfinishedByPeer.computeIfAbsent(peer, p -> new HashSet<>());
-        orders.forEach(order -> unfinished.add(order.id()));
+        for (PieceOrder order : orders) {
+            unfinishedByPeer
+                    .computeIfAbsent(peer, p -> new HashMap<>())
+                    .computeIfAbsent(order.id().requestId(), r -> new HashSet<>())
+                    .add(order.id());
+        }
     }
 
     void onEnded(String peer, PieceId id) {
-        removeIf(peer, id::equals);
+        Map<String, Set<PieceId>> unfinished = unfinishedByPeer.get(peer);
+        Set<PieceId> ofRequest = unfinished == null ? null : unfinished.get(id.requestId());
+        if (ofRequest != null && ofRequest.remove(id) && ofRequest.isEmpty()) {
+            removeRequest(peer, id.requestId());
+        }
     }
 
     void onCancelled(String peer, String requestId) {
-        removeIf(peer, id -> id.requestId().equals(requestId));
+        removeRequest(peer, requestId);
     }
 
-    private void removeIf(String peer, Predicate<PieceId> condition) {
-        Set<PieceId> unfinished = unfinishedByPeer.get(peer);
-        if (unfinished != null && unfinished.removeIf(condition) && unfinished.isEmpty()) {
+    private void removeRequest(String peer, String requestId) {
+        Map<String, Set<PieceId>> unfinished = unfinishedByPeer.get(peer);
+        if (unfinished != null && unfinished.remove(requestId) != null && unfinished.isEmpty()) {
             unfinishedByPeer.remove(peer);
         }
     }
