Look up the producer of a result by its address

EndpointTable.findByHandle built the address of every endpoint and compared it with the handle, for each handle of which a request checks zone or producer: of 2,100 endpoints at the target's size. It now looks up the address before the slash in an index that each listing rebuilds. If several endpoints have one address, the same one is found as before.

--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
@@ -25,6 +25,7 @@
     private final String zone;
     private final Supplier<ConcurrencyLimit> limitFactory;
     private final Map<String, EndpointState> byName = new HashMap<>();
+    private final Map<String, EndpointState> byAddress = new HashMap<>();
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, ServicePool> pools = new HashMap<>();
 
@@ -56,14 +57,8 @@
      * @return the state, null if no known endpoint has the address
      */
     public @Nullable EndpointState findByHandle(String handle) {
-        for (EndpointState state : byName.values()) {
-            String address =
-                    state.getEndpoint().host() + ":" + state.getEndpoint().port() + "/";
-            if (handle.startsWith(address)) {
-                return state;
-            }
-        }
-        return null;
+        int slash = handle.indexOf('/');
+        return slash < 0 ? null : byAddress.get(handle.substring(0, slash));
     }
 
     /**
@@ -100,6 +95,10 @@
         }
         byName.values().removeIf(state -> delistIfAbsent(state, listed, changed));
         incarnations.keySet().retainAll(byName.keySet());
+        byAddress.clear();
+        byName.values()
+                .forEach(state -> byAddress.putIfAbsent(
+                        state.getEndpoint().host() + ":" + state.getEndpoint().port(), state));
         for (String service : changed) {
             getPool(service).setEndpoints(endpointsOf(service));
         }
