Test that offers without space do not examine the backlog

An idle endpoint without free space was offered to the whole queue at each dispatch, so that each event cost the owner as much as its backlog was long, without a piece being sent.

The drain test is unchanged in what it plays and bounds; it shares its parts with the new one.

--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestPieceQueueCost.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestPieceQueueCost.java
@@ -16,18 +16,38 @@
     private static final List<String> ENDPOINTS =
             IntStream.range(0, 11).mapToObj(i -> "e" + i).toList();
 
-    /** Drains a backlog and counts how often the wait of a piece across zones is examined. */
-    private static long countVisits(int pieces) {
+    private final AtomicLong visits = new AtomicLong();
+
+    private static PieceQueue queueOf(int pieces) {
         PieceQueue queue = new PieceQueue();
         for (int i = 0; i < pieces; i++) {
             PieceTerms terms = new PieceTerms(i % 3, "other", 30_000, 0, (2_000 + i) * MILLI, 60_000 * MILLI);
             queue.add(new PieceTask(PoolFixture.order("r" + i / 6, i % 6, terms), result -> {}, 0));
         }
-        AtomicLong visits = new AtomicLong();
+        return queue;
+    }
+
+    /** Offers an endpoint to a queue and counts how often the wait of a piece across zones is examined. */
+    private void offer(PieceQueue queue, int call, long spaceBytes) {
+        String endpoint = ENDPOINTS.get(call % ENDPOINTS.size());
+        PieceQueue.Offer offer = new PieceQueue.Offer(endpoint, "own", BATCH, spaceBytes, 200 * MILLI);
+        queue.take(offer, (1_000 + call) * MILLI, zone -> visits.incrementAndGet() > 0, ENDPOINTS);
+    }
+
+    private long countVisitsToDrain(int pieces) {
+        PieceQueue queue = queueOf(pieces);
+        visits.set(0);
         for (int call = 0; !queue.isEmpty(); call++) {
-            String endpoint = ENDPOINTS.get(call % ENDPOINTS.size());
-            PieceQueue.Offer offer = new PieceQueue.Offer(endpoint, "own", BATCH, 10_000_000, 200 * MILLI);
-            queue.take(offer, (1_000 + call) * MILLI, zone -> visits.incrementAndGet() > 0, ENDPOINTS);
+            offer(queue, call, 10_000_000);
+        }
+        return visits.get();
+    }
+
+    private long countVisitsWithoutSpace(int pieces) {
+        PieceQueue queue = queueOf(pieces);
+        visits.set(0);
+        for (int call = 0; call < ENDPOINTS.size(); call++) {
+            offer(queue, call, 1_000);
         }
         return visits.get();
     }
@@ -39,6 +59,15 @@
     @Test
     void drainingBacklogDoesNotTakeWorkInProportionToItsSquare() {
         double maxGrowth = 2 * log2(2 * BACKLOG) / log2(BACKLOG);
-        assertThat((double) countVisits(2 * BACKLOG), lessThanOrEqualTo(maxGrowth * countVisits(BACKLOG)));
+        assertThat(
+                (double) countVisitsToDrain(2 * BACKLOG), lessThanOrEqualTo(maxGrowth * countVisitsToDrain(BACKLOG)));
+    }
+
+    @Test
+    void offersWithoutSpaceDoNotTakeWorkInProportionToBacklog() {
+        double maxGrowth = log2(2 * BACKLOG) / log2(BACKLOG);
+        assertThat(
+                (double) countVisitsWithoutSpace(2 * BACKLOG),
+                lessThanOrEqualTo(maxGrowth * countVisitsWithoutSpace(BACKLOG)));
     }
 }
