--- a/core/src/main/java/org/fuchsiawharf/core/limits/RequestShares.java
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/RequestShares.java
@@ -1,11 +1,12 @@
 package org.fuchsiawharf.core.limits;
 
 import java.util.List;
-import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 
 import org.fuchsiawharf.core.member.Member;
 import org.fuchsiawharf.core.member.MemberTable;
+import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.routing.EndpointState;
 
 /**
@@ -14,7 +15,7 @@
  * <p>Only a few instances, ranked by the name of the endpoint, send their part of the limit: in any window, each
  * instance can exceed its part by one request, so that the sum exceeds the limit by the number of senders at most. All
  * others together send a small fixed rate of requests, by which they learn when the limit ends. The endpoints of a
- * stage service receive their requests from the owner of the service.
+ * stage service receive their requests from the owner of their pool.
  *
  * <p>Confined to the decision loop.
  */
@@ -28,7 +29,7 @@
 
     private final MemberTable members;
     private final SplittableRandom random;
-    private Set<String> stageServices = Set.of();
+    private Function<Endpoint, List<Member>> stageOwners = endpoint -> List.of();
 
     /**
      * Creates shares.
@@ -42,12 +43,12 @@
     }
 
     /**
-     * Sets the services whose endpoints are called by the owner of the service.
+     * Sets the ranking of the instances for the endpoints of stage services, which are called by the owner of their pool.
      *
-     * @param services the names of the services, not null
+     * @param ranking ranks every member for an endpoint, the owner first; empty for other endpoints; not null
      */
-    public void setStageServices(Set<String> services) {
-        stageServices = Set.copyOf(services);
+    public void setStageOwners(Function<Endpoint, List<Member>> ranking) {
+        stageOwners = ranking;
     }
 
     /**
@@ -77,11 +78,10 @@
         if (perSecond == 0) {
             return 0;
         }
-        boolean owned = stageServices.contains(endpoint.getEndpoint().service());
-        List<Member> ranked = members.rankOwners(
-                owned
-                        ? endpoint.getEndpoint().service()
-                        : endpoint.getEndpoint().name());
+        List<Member> owners = stageOwners.apply(endpoint.getEndpoint());
+        boolean owned = !owners.isEmpty();
+        List<Member> ranked =
+                owned ? owners : members.rankOwners(endpoint.getEndpoint().name());
         int senders = Math.min(ranked.size(), owned ? 1 : Math.max(MIN_SENDERS, 1 + (int) perSecond));
         double senderSeconds = senders / perSecond;
         boolean isSender = ranked.indexOf(members.getSelf()) < senders;
--- a/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
@@ -5,6 +5,7 @@
 
 import org.fuchsiawharf.core.pieces.PieceOrder;
 import org.fuchsiawharf.core.pieces.PieceResult;
+import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.pieces.StageBacklog;
 
 /**
@@ -14,12 +15,12 @@
  */
 public sealed interface PeerMessage {
     /**
-     * Submits pieces to the owner of a stage service.
+     * Submits pieces to the owner of a pool.
      *
-     * @param service the name of the stage service
+     * @param pool the pool
      * @param orders the pieces to run
      */
-    record SubmitPieces(String service, List<PieceOrder> orders) implements PeerMessage {
+    record SubmitPieces(PoolKey pool, List<PieceOrder> orders) implements PeerMessage {
         /** Makes the list immutable. */
         public SubmitPieces {
             orders = List.copyOf(orders);
@@ -29,10 +30,10 @@
     /**
      * Reports the results of pieces to the instance that submitted them.
      *
-     * @param service the name of the stage service
+     * @param pool the pool
      * @param results the results of the ended pieces
      */
-    record PiecesEnded(String service, List<PieceResult> results) implements PeerMessage {
+    record PiecesEnded(PoolKey pool, List<PieceResult> results) implements PeerMessage {
         /** Makes the list immutable. */
         public PiecesEnded {
             results = List.copyOf(results);
@@ -42,18 +43,18 @@
     /**
      * Cancels the pieces of a request that have not started.
      *
-     * @param service the name of the stage service
+     * @param pool the pool
      * @param requestId the id of the request
      */
-    record CancelPieces(String service, String requestId) implements PeerMessage {}
+    record CancelPieces(PoolKey pool, String requestId) implements PeerMessage {}
 
     /**
      * Releases results so that their endpoints can free the memory.
      *
-     * @param service the name of the stage service that produced the results
+     * @param pool the pool that produced the results
      * @param handles the handles of the results
      */
-    record ReleaseResults(String service, List<String> handles) implements PeerMessage {
+    record ReleaseResults(PoolKey pool, List<String> handles) implements PeerMessage {
         /** Makes the list immutable. */
         public ReleaseResults {
             handles = List.copyOf(handles);
@@ -61,12 +62,12 @@
     }
 
     /**
-     * Reports that the sender is alive, with the backlogs of the stage services that the sender owns.
+     * Reports that the sender is alive, with the backlogs of the pools that the sender runs.
      *
-     * @param backlogs the backlogs by stage service
+     * @param backlogs the backlogs by pool
      * @param leaving whether the sender is draining and accepts no more pieces
      */
-    record Heartbeat(Map<String, StageBacklog> backlogs, boolean leaving) implements PeerMessage {
+    record Heartbeat(Map<PoolKey, StageBacklog> backlogs, boolean leaving) implements PeerMessage {
         /** Makes the map immutable. */
         public Heartbeat {
             backlogs = Map.copyOf(backlogs);
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -21,7 +21,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Queues the pieces of one service for the whole fleet and batches them into calls to its endpoints.
+ * Queues the pieces of one pool for the whole fleet and batches them into calls to its endpoints.
  *
  * <p>One queue in front of all endpoints fills batches even if each of many instances has only a few pieces. The pool
  * keeps at most one call in flight for each slot of an endpoint, so that queued pieces can still be reordered. Every
@@ -45,6 +45,7 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
+    private final PoolKey key;
     private final String service;
     private final EndpointTable table;
     private final HealthPolicy health;
@@ -67,11 +68,12 @@
     /**
      * Creates a pool.
      *
-     * @param service the service's name, not null
+     * @param key the service and the endpoints of the pool, not null
      * @param context the components that all pools of the instance share, not null
      */
-    public FleetStagePool(String service, PoolContext context) {
-        this.service = service;
+    public FleetStagePool(PoolKey key, PoolContext context) {
+        this.key = key;
+        this.service = key.service();
         this.table = context.table();
         this.health = context.health();
         this.calls = context.calls();
@@ -80,7 +82,7 @@
         this.log = context.log();
         this.meters = context.meters();
         this.callLog = new StageCallLog(context.log(), service);
-        this.endpoints = new StageEndpoints(service, context);
+        this.endpoints = new StageEndpoints(key, context);
         this.releases = new ResultReleases(service, context, resultSpace, this::dispatch);
         this.foreignSpace = new ForeignSpaceEstimator(service, context, resultSpace, this::dispatch);
     }
@@ -102,6 +104,10 @@
      */
     public StageBacklog getBacklog() {
         List<EndpointState> usable = endpoints.getUsable();
+        if (!key.coversAllZones() && !usable.isEmpty() && !usable.get(0).isUsable()) {
+            // Other pools of the service are preferred while this one has only ejected endpoints.
+            return new StageBacklog(queue.countByRank(), 0, 0);
+        }
         long idle = usable.stream().filter(this::isIdle).count();
         return new StageBacklog(queue.countByRank(), usable.size(), (int) idle);
     }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/OutstandingPieces.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/OutstandingPieces.java
@@ -45,21 +45,21 @@
 
     long countAt(String owner) {
         return pieces.values().stream()
-                .filter(piece -> piece.owner.equals(owner))
+                .filter(piece -> piece.destination.owner().equals(owner))
                 .count();
     }
 
-    /** Removes the pieces of a request and returns the names of the instances that run them. */
-    Set<String> removeRequest(String service, String requestId) {
-        Set<String> owners = new HashSet<>();
+    /** Removes the pieces of a request and returns the pools to which they were sent. */
+    Set<SentPiece.Destination> removeRequest(String service, String requestId) {
+        Set<SentPiece.Destination> destinations = new HashSet<>();
         for (PieceId id : List.copyOf(idsByRequest.getOrDefault(requestId, Set.of()))) {
             SentPiece piece = pieces.get(id);
             if (piece != null && piece.service.equals(service)) {
-                owners.add(piece.owner);
+                destinations.addAll(piece.triedDestinations);
                 remove(id);
             }
         }
-        return owners;
+        return destinations;
     }
 
     /** Removes all matching pieces and returns them by service, in the order in which they were added. */
@@ -76,8 +76,8 @@
     Set<String> findSilentOwners(OwnerSelector owners, long sinceNanos) {
         Set<String> silentOwners = new HashSet<>();
         for (SentPiece piece : pieces.values()) {
-            if (Math.max(piece.sentNanos, owners.getLastReceivedNanos(piece.owner)) < sinceNanos) {
-                silentOwners.add(piece.owner);
+            if (Math.max(piece.sentNanos, owners.getLastReceivedNanos(piece.destination.owner())) < sinceNanos) {
+                silentOwners.add(piece.destination.owner());
             }
         }
         return silentOwners;
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
@@ -1,5 +1,6 @@
 package org.fuchsiawharf.core.pieces;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,19 +11,23 @@
 import org.fuchsiawharf.core.member.MemberTable;
 import org.fuchsiawharf.core.member.PeerPort;
 import org.fuchsiawharf.core.time.TimerService;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Selects the owner of a stage service among the reachable instances.
+ * Selects the owner of a pool among the reachable instances.
  *
- * <p>A suspected instance is excluded for a fixed time, a leaving instance until its heartbeats report otherwise.
+ * <p>The pool of one availability zone is owned by an instance of that zone, unless the zone has no member. A suspected instance is excluded for a fixed time, a leaving instance until its heartbeats report otherwise.
  *
  * <p>Confined to the decision loop.
  */
 final class OwnerSelector {
     /** Time for which a suspected instance is excluded. */
     private static final long SUSPICION_NANOS = 1_500_000_000L;
+    /** Connected candidates for the owner of a pool, overall and in the instance's zone; several can fail at once. */
+    private static final int CONNECTED_OWNERS = 3;
 
     private final MemberTable members;
+    private final PoolLayout layout;
     private final PeerPort peers;
     private final TimerService timers;
     private final Map<String, Peer> peersByName = new HashMap<>();
@@ -35,43 +40,86 @@
         private boolean leaving;
     }
 
-    OwnerSelector(MemberTable members, PeerPort peers, TimerService timers) {
+    OwnerSelector(MemberTable members, PoolLayout layout, PeerPort peers, TimerService timers) {
         this.members = members;
+        this.layout = layout;
         this.peers = peers;
         this.timers = timers;
     }
 
-    /** Gets the candidates in order of preference: the owner, the owner within this instance's zone, this instance. */
-    List<Member> getCandidates(String service) {
-        List<Member> ranked = members.rankOwners(service);
+    /** Ranks the instances as owners of a pool, regardless of reachability. */
+    List<Member> rank(PoolKey pool) {
+        return members.rankByCapacity(pool.service(), pool.zone(), layout.getNeededCapacity(pool));
+    }
+
+    /**
+     * Gets the candidates in order of preference: the owner, and, unless the pool is confined to another availability
+     * zone, the owner within this instance's zone and this instance. Empty if no instance of the pool's zone can be
+     * reached, since its endpoints probably cannot be reached either.
+     */
+    List<Member> getCandidates(PoolKey pool) {
+        List<Member> ranked = rank(pool);
         Set<Member> candidates = new LinkedHashSet<>();
-        ranked.stream().filter(this::isEligible).findFirst().ifPresent(candidates::add);
+        boolean hasHome = ranked.stream().anyMatch(m -> m.zone().equals(pool.zone()) && !isMemberLeaving(m));
         ranked.stream()
-                .filter(this::isInOwnZone)
+                .filter(m -> !hasHome || m.zone().equals(pool.zone()))
                 .filter(this::isEligible)
                 .findFirst()
                 .ifPresent(candidates::add);
-        if (!selfLeaving || candidates.isEmpty()) {
-            candidates.add(members.getSelf());
+        if (pool.coversAllZones() || pool.zone().equals(members.getSelf().zone())) {
+            ranked.stream()
+                    .filter(this::isInOwnZone)
+                    .filter(this::isEligible)
+                    .findFirst()
+                    .ifPresent(candidates::add);
+            if (!selfLeaving || candidates.isEmpty()) {
+                candidates.add(members.getSelf());
+            }
         }
         return List.copyOf(candidates);
     }
 
-    /** Gets the first candidate. */
-    Member getPreferred(String service) {
-        return getCandidates(service).get(0);
+    /** Gets the first candidate, null if there is none. */
+    @Nullable
+    Member getPreferred(PoolKey pool) {
+        List<Member> candidates = getCandidates(pool);
+        return candidates.isEmpty() ? null : candidates.get(0);
     }
 
-    /** Checks whether this instance ranks first for a service, overall or in its zone, regardless of reachability. */
-    boolean isOwnerOf(String service) {
+    /** Checks whether the preferred owner of a pool is an instance with the given name. */
+    boolean isPreferred(PoolKey pool, String name) {
+        Member preferred = getPreferred(pool);
+        return preferred != null && preferred.name().equals(name);
+    }
+
+    /** Checks whether this instance ranks first for a pool, overall or in its zone, regardless of reachability. */
+    boolean isOwnerOf(PoolKey pool) {
         Member self = members.getSelf();
-        List<Member> ranked = members.rankOwners(service);
+        List<Member> ranked = rank(pool);
         return ranked.get(0).equals(self)
-                || ranked.stream()
+                || (pool.coversAllZones()
+                        && ranked.stream()
+                                .filter(this::isInOwnZone)
+                                .findFirst()
+                                .filter(self::equals)
+                                .isPresent());
+    }
+
+    /** Selects the instances to be connected with: the first candidates for each pool, without this instance. */
+    Set<Member> selectConnections(Collection<PoolKey> pools) {
+        Set<Member> selected = new LinkedHashSet<>();
+        for (PoolKey pool : pools) {
+            List<Member> ranked = rank(pool);
+            ranked.stream().limit(CONNECTED_OWNERS).forEach(selected::add);
+            if (pool.coversAllZones()) {
+                ranked.stream()
                         .filter(this::isInOwnZone)
-                        .findFirst()
-                        .filter(self::equals)
-                        .isPresent();
+                        .limit(CONNECTED_OWNERS)
+                        .forEach(selected::add);
+            }
+        }
+        selected.remove(members.getSelf());
+        return selected;
     }
 
     boolean isInOwnZone(Member member) {
@@ -116,6 +164,10 @@
         peersByName.keySet().removeIf(name -> members.getMember(name) == null);
     }
 
+    private boolean isMemberLeaving(Member member) {
+        return member.equals(members.getSelf()) ? selfLeaving : isLeaving(member.name());
+    }
+
     private boolean isEligible(Member member) {
         if (member.equals(members.getSelf())) {
             return !selfLeaving;
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceGroup.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceGroup.java
@@ -18,11 +18,6 @@
  * @param failedEndpoints the names of the endpoints at which the piece failed
  */
 record PieceGroup(String zone, long maxWaitNanos, long resultBytes, Set<String> failedEndpoints) {
-    /** Maximum wait before a piece is sent to another availability zone; about half a stage call. */
-    private static final long MAX_CROSS_ZONE_WAIT_NANOS = 100_000_000L;
-    /** Wait for each kilobyte to transfer between zones; 500 kB reach the maximum wait. */
-    private static final long CROSS_ZONE_WAIT_NANOS_PER_KB = 200_000L;
-
     /** Copies the set. */
     PieceGroup {
         failedEndpoints = Set.copyOf(failedEndpoints);
@@ -30,9 +25,7 @@
 
     static PieceGroup of(PieceTask task) {
         PieceTerms terms = task.order.terms();
-        long waitNanos =
-                Math.min(MAX_CROSS_ZONE_WAIT_NANOS, terms.crossZoneBytes() / 1_000 * CROSS_ZONE_WAIT_NANOS_PER_KB);
-        return new PieceGroup(terms.zone(), waitNanos, terms.resultBytes(), task.failedEndpoints);
+        return new PieceGroup(terms.zone(), terms.crossZoneWaitNanos(), terms.resultBytes(), task.failedEndpoints);
     }
 
     /** Checks whether the pieces may be sent to an endpoint: they have not failed there, or at all that are usable. */
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceTerms.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceTerms.java
@@ -13,6 +13,10 @@
  * @param deadlineNanos the time after which the result is useless, in nanoseconds
  */
 public record PieceTerms(int rank, String zone, long resultBytes, long inputBytes, long dueNanos, long deadlineNanos) {
+    /** Maximum wait before a piece is sent to another availability zone; about half a stage call. */
+    private static final long MAX_CROSS_ZONE_WAIT_NANOS = 100_000_000L;
+    /** Wait for each kilobyte to transfer between zones; 500 kB reach the maximum wait. */
+    private static final long CROSS_ZONE_WAIT_NANOS_PER_KB = 200_000L;
 
     /**
      * Gets the size of the data to transfer if the piece is produced in another availability zone.
@@ -22,4 +26,13 @@
     public long crossZoneBytes() {
         return resultBytes + inputBytes;
     }
+
+    /**
+     * Gets the wait that is preferred to the transfer to another availability zone.
+     *
+     * @return the wait, in nanoseconds
+     */
+    public long crossZoneWaitNanos() {
+        return Math.min(MAX_CROSS_ZONE_WAIT_NANOS, crossZoneBytes() / 1_000 * CROSS_ZONE_WAIT_NANOS_PER_KB);
+    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/RemoteResultSender.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/RemoteResultSender.java
@@ -12,13 +12,13 @@
  */
 final class RemoteResultSender implements PieceListener {
     private final String submitter;
-    private final String service;
+    private final PoolKey pool;
     private final PeerPort peers;
     private final PeerHeartbeats heartbeats;
 
-    RemoteResultSender(String submitter, String service, PeerPort peers, PeerHeartbeats heartbeats) {
+    RemoteResultSender(String submitter, PoolKey pool, PeerPort peers, PeerHeartbeats heartbeats) {
         this.submitter = submitter;
-        this.service = service;
+        this.pool = pool;
         this.peers = peers;
         this.heartbeats = heartbeats;
     }
@@ -31,6 +31,6 @@
     @Override
     public void onResults(List<PieceResult> results) {
         results.forEach(result -> heartbeats.onEnded(submitter, result.id()));
-        peers.send(submitter, new PeerMessage.PiecesEnded(service, results));
+        peers.send(submitter, new PeerMessage.PiecesEnded(pool, results));
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ReportedBacklog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ReportedBacklog.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /**
- * The backlog of a service that its owner last reported, plus the pieces that this instance has submitted since then.
+ * The backlog of a pool that its owner last reported, plus the pieces that this instance has submitted since then.
  *
  * <p>Confined to the decision loop.
  */
@@ -13,10 +13,12 @@
     private final int[] submittedByRank = new int[StageBacklog.RANKS];
     private StageBacklog backlog = StageBacklog.EMPTY;
     private long reportedAtNanos;
+    private boolean reported;
 
     void set(StageBacklog report, long nowNanos) {
         backlog = report;
         reportedAtNanos = nowNanos;
+        reported = true;
         Arrays.fill(submittedByRank, 0);
     }
 
@@ -35,6 +37,10 @@
         return new StageBacklog(queued, backlog.endpoints(), backlog.idle());
     }
 
+    boolean isReported() {
+        return reported;
+    }
+
     long getReportedAtNanos() {
         return reportedAtNanos;
     }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ResultOwners.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ResultOwners.java
@@ -5,27 +5,46 @@
 import java.util.List;
 import java.util.Map;
 
+import org.fuchsiawharf.core.routing.EndpointState;
+
 /**
- * Remembers through which instance each result was ordered, since only that instance releases it.
+ * Remembers through which pool of which instance each result was ordered, since only that instance releases it.
  *
  * <p>Confined to the decision loop.
  */
 final class ResultOwners {
-    private final Map<String, String> ownerByHandle = new HashMap<>();
+    private final PoolContext context;
+    private final Map<String, SentPiece.Destination> originByHandle = new HashMap<>();
+
+    ResultOwners(PoolContext context) {
+        this.context = context;
+    }
+
+    void add(String handle, SentPiece.Destination origin) {
+        originByHandle.put(handle, origin);
+    }
 
-    void add(String handle, String owner) {
-        ownerByHandle.put(handle, owner);
+    /** Removes results and groups their handles by origin; unknown handles are ignored. */
+    Map<SentPiece.Destination, List<String>> removeByOrigin(List<String> handles) {
+        Map<SentPiece.Destination, List<String>> handlesByOrigin = new HashMap<>();
+        for (String handle : handles) {
+            SentPiece.Destination origin = originByHandle.remove(handle);
+            if (origin != null) {
+                handlesByOrigin.computeIfAbsent(origin, o -> new ArrayList<>()).add(handle);
+            }
+        }
+        return handlesByOrigin;
     }
 
-    /** Removes results and groups their handles by owner; unknown handles are ignored. */
-    Map<String, List<String>> removeByOwner(List<String> handles) {
-        Map<String, List<String>> handlesByOwner = new HashMap<>();
+    /** Frees results at their producers directly, since the owner that ordered them is not connected. */
+    void freeAtProducers(List<String> handles) {
         for (String handle : handles) {
-            String owner = ownerByHandle.remove(handle);
-            if (owner != null) {
-                handlesByOwner.computeIfAbsent(owner, o -> new ArrayList<>()).add(handle);
+            EndpointState producer = context.table().findByHandle(handle);
+            long now = context.timers().now();
+            if (producer != null && producer.getRequestLimit().maySend(now)) {
+                producer.getRequestLimit().onSent(now);
+                context.calls().release(producer.getEndpoint(), List.of(handle), () -> {});
             }
         }
-        return handlesByOwner;
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/SentPiece.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/SentPiece.java
@@ -12,15 +12,33 @@
     final String service;
     final PieceOrder order;
     final PieceListener listener;
-    /** The names of the instances to which the piece was sent. */
-    final Set<String> triedOwners = new HashSet<>();
+    /** The pools and their owners to which the piece was sent. */
+    final Set<Destination> triedDestinations = new HashSet<>();
+
+    /** The pool to which the piece was sent last, and the instance that runs it. */
+    Destination destination;
 
-    String owner = "";
     long sentNanos;
 
+    /**
+     * A pool on an instance.
+     *
+     * @param pool the pool
+     * @param owner the name of the instance
+     */
+    record Destination(PoolKey pool, String owner) {}
+
     SentPiece(String service, PieceOrder order, PieceListener listener) {
         this.service = service;
         this.order = order;
         this.listener = listener;
+        this.destination = new Destination(PoolKey.ofAllZones(service), "");
+    }
+
+    /** Checks whether another piece belongs to the same stage of the same request and was sent to the same pools. */
+    boolean isSentLike(SentPiece other) {
+        return order.id().requestId().equals(other.order.id().requestId())
+                && order.id().stage() == other.order.id().stage()
+                && triedDestinations.equals(other.triedDestinations);
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
@@ -13,7 +13,7 @@
 import org.fuchsiawharf.core.time.TimerService;
 
 /**
- * Tracks the endpoints of one stage service and the calls in flight from its pool to each of them.
+ * Tracks the endpoints of one pool and the calls in flight from it to each of them.
  *
  * <p>Confined to the decision loop.
  */
@@ -21,15 +21,15 @@
     /** Time without new calls to an endpoint whose queue was full; about half a call. */
     private static final long FULL_QUEUE_BACKOFF_NANOS = 120_000_000L;
 
-    private final String service;
+    private final PoolKey key;
     private final EndpointTable table;
     private final HealthPolicy health;
     private final TimerService timers;
     private final Map<String, Integer> callsByEndpoint = new HashMap<>();
     private final Map<String, Long> backoffUntilNanos = new HashMap<>();
 
-    StageEndpoints(String service, PoolContext context) {
-        this.service = service;
+    StageEndpoints(PoolKey key, PoolContext context) {
+        this.key = key;
         this.table = context.table();
         this.health = context.health();
         this.timers = context.timers();
@@ -37,13 +37,17 @@
 
     /** Gets the usable endpoints, the fastest first; all that are not leaving if none is usable. */
     List<EndpointState> getUsable() {
-        ServicePool pool = table.getPool(service);
+        ServicePool pool = table.getPool(key.service());
         health.allowProbes(pool, timers.now());
-        List<EndpointState> usable = new ArrayList<>(
-                pool.getEndpoints().stream().filter(EndpointState::isUsable).toList());
+        List<EndpointState> usable = new ArrayList<>();
+        List<EndpointState> ejected = new ArrayList<>();
+        for (EndpointState endpoint : pool.getEndpoints()) {
+            if (key.covers(endpoint.getEndpoint()) && !endpoint.isLeaving()) {
+                (endpoint.isUsable() ? usable : ejected).add(endpoint);
+            }
+        }
         if (usable.isEmpty()) {
-            usable.addAll(
-                    pool.getEndpoints().stream().filter(e -> !e.isLeaving()).toList());
+            usable = ejected;
         }
         usable.sort(Comparator.comparing(EndpointState::isEjected)
                 .thenComparingDouble(e -> e.getServiceTime().getMean()));
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,38 +14,38 @@
 import org.fuchsiawharf.core.member.MemberTable;
 import org.fuchsiawharf.core.member.PeerMessage;
 import org.fuchsiawharf.core.member.PeerPort;
+import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.route.ServiceSpec;
-import org.fuchsiawharf.core.routing.EndpointState;
 import org.fuchsiawharf.core.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Routes pieces to the pool of the owner of their service, on this instance or on another.
+ * Routes pieces to a pool of their service, on the instance that owns the pool: this one or another.
  *
- * <p>Each stage service has one owner among the live instances, chosen by hashing alone; ownership is a hint and never
- * exclusive. If the owner is silent, withdraws pieces or is not connected, they are sent to the owner within the own
- * availability zone, since a partition between zones is the likely cause, and then to the pool of this instance. A
- * piece can therefore be produced twice; the first result is used.
+ * <p>Each pool has one owner among the live instances, chosen by capacity and hashing alone; ownership is a hint and
+ * never exclusive. If the owner is silent, withdraws pieces or is not connected, they are sent to another pool of the
+ * service or, if there is none, to the owner within the own availability zone, since a partition between zones is the
+ * likely cause, and then to the pool of this instance. A piece can therefore be produced twice; the first result is
+ * used.
  *
  * <p>Confined to the decision loop.
  */
 public final class StagePools {
-    /** Connected candidates for a service's owner, overall and in the instance's zone; several can fail at once. */
-    private static final int CONNECTED_OWNERS = 3;
-
     private final MemberTable members;
     private final PeerPort peers;
     private final PoolContext context;
     private final TimerService timers;
     private final DecisionLog log;
-    private final Map<String, FleetStagePool> pools = new HashMap<>();
+    private final Map<PoolKey, FleetStagePool> pools = new HashMap<>();
     private final OutstandingPieces outstanding = new OutstandingPieces();
-    private final ResultOwners resultOwners = new ResultOwners();
+    private final ResultOwners resultOwners;
     private final OwnerSelector owners;
     private final LiveMembers liveMembers;
-    private final Map<String, ReportedBacklog> reportedBacklogs = new HashMap<>();
+    private final PoolLayout layout;
+    private final PoolBacklogs backlogs;
+    private final PoolSelector selector;
     private final PeerHeartbeats heartbeats = new PeerHeartbeats();
-    private Set<String> services = Set.of();
+    private final OwnedPools ownedPools;
     private boolean leaving;
 
     /**
@@ -62,8 +61,13 @@
         this.context = context;
         this.timers = context.timers();
         this.log = context.log();
-        this.owners = new OwnerSelector(members, peers, timers);
+        this.resultOwners = new ResultOwners(context);
+        this.ownedPools = new OwnedPools(log);
+        this.layout = new PoolLayout(context.table(), members);
+        this.owners = new OwnerSelector(members, layout, peers, timers);
         this.liveMembers = new LiveMembers(members, peers, owners, timers);
+        this.backlogs = new PoolBacklogs(members, owners, pools, timers);
+        this.selector = new PoolSelector(layout, owners, members.getSelf().name(), backlogs);
     }
 
     /** Starts heartbeats and the detection of silent owners; called once. */
@@ -77,20 +81,10 @@
      * @param specs all services, not null
      */
     public void setServices(Collection<ServiceSpec> specs) {
-        Set<String> stageServices = new HashSet<>();
-        for (ServiceSpec spec : specs) {
-            if (spec.pieces() != null) {
-                stageServices.add(spec.name());
-                pool(spec.name()).setSpec(spec.pieces());
-            }
-        }
-        pools.forEach((name, pool) -> {
-            if (!stageServices.contains(name)) {
-                pool.setSpec(null);
-            }
-        });
-        services = stageServices;
-        connectToOwners();
+        layout.setServices(specs);
+        // Withdrawn pieces can open a pool, so the iterations over pools that withdraw them need a copy.
+        Map.copyOf(pools).forEach((key, pool) -> pool.setSpec(layout.getSpec(key.service())));
+        onLayoutChanged();
     }
 
     /**
@@ -106,25 +100,33 @@
 
     private void onMembersChanged() {
         log.write("members.changed", "members", members.size());
-        connectToOwners();
         owners.onMembersChanged();
-        resubmitWhere(o -> members.getMember(o.owner) == null, "owner is no longer a member");
+        onLayoutChanged();
+        resubmitWhere(o -> members.getMember(o.destination.owner()) == null, "owner is no longer a member");
     }
 
-    private void connectToOwners() {
-        Set<Member> membersToConnect = new HashSet<>();
-        for (String service : services) {
-            List<Member> ranked = members.rankOwners(service);
-            ranked.stream().limit(CONNECTED_OWNERS).forEach(membersToConnect::add);
-            ranked.stream().filter(owners::isInOwnZone).limit(CONNECTED_OWNERS).forEach(membersToConnect::add);
-        }
-        membersToConnect.remove(members.getSelf());
-        peers.setDesiredPeers(membersToConnect);
+    private void onLayoutChanged() {
+        layout.invalidate();
+        ownedPools.update(layout.getPools().stream().filter(owners::isOwnerOf).toList(), members);
+        ownedPools.get().forEach(this::pool);
+        peers.setDesiredPeers(owners.selectConnections(layout.getPools()));
     }
 
-    /** Dispatches queued pieces; called when endpoints have changed. */
+    /** Computes the pools again and dispatches queued pieces; called when endpoints have changed. */
     public void onEndpointsChanged() {
-        pools.values().forEach(FleetStagePool::dispatch);
+        onLayoutChanged();
+        List.copyOf(pools.values()).forEach(FleetStagePool::dispatch);
+    }
+
+    /**
+     * Ranks the instances as senders of pieces to an endpoint.
+     *
+     * @param endpoint the endpoint, not null
+     * @return every member, the owner of the endpoint's pool first; empty if its service processes no pieces
+     */
+    public List<Member> rankOwners(Endpoint endpoint) {
+        PoolKey pool = layout.findPool(endpoint);
+        return pool == null ? List.of() : owners.rank(pool);
     }
 
     /** Withdraws all queued pieces and rejects further pieces of other instances. */
@@ -132,7 +134,7 @@
         leaving = true;
         owners.setSelfLeaving();
         sendHeartbeats(peers.getConnectedPeers());
-        pools.values().forEach(pool -> pool.withdrawAll("instance is leaving"));
+        List.copyOf(pools.values()).forEach(pool -> pool.withdrawAll("instance is leaving"));
     }
 
     // -----------------------------------------------------------------------
@@ -148,7 +150,6 @@
         List<SentPiece> pieces = orders.stream()
                 .map(order -> new SentPiece(service, order, listener))
                 .toList();
-        reportedBacklog(service).onSubmitted(orders);
         send(service, pieces);
     }
 
@@ -161,60 +162,55 @@
     public void cancel(String service, String requestId) {
         outstanding
                 .removeRequest(service, requestId)
-                .forEach(owner -> peers.send(owner, new PeerMessage.CancelPieces(service, requestId)));
-        pool(service).cancel(requestId);
+                .forEach(destination ->
+                        peers.send(destination.owner(), new PeerMessage.CancelPieces(destination.pool(), requestId)));
+        pools.forEach((key, pool) -> {
+            if (key.service().equals(service)) {
+                pool.cancel(requestId);
+            }
+        });
     }
 
     /**
      * Releases results.
      *
-     * @param service the service that produced them, not null
      * @param handles the handles of the results, not null
      */
-    public void release(String service, List<String> handles) {
-        resultOwners.removeByOwner(handles).forEach((owner, list) -> {
-            if (owner.equals(members.getSelf().name())) {
-                pool(service).release(list);
-            } else if (!peers.send(owner, new PeerMessage.ReleaseResults(service, list))) {
-                freeAtProducers(list);
+    public void release(List<String> handles) {
+        resultOwners.removeByOrigin(handles).forEach((origin, list) -> {
+            if (origin.owner().equals(members.getSelf().name())) {
+                pool(origin.pool()).release(list);
+            } else if (!peers.send(origin.owner(), new PeerMessage.ReleaseResults(origin.pool(), list))) {
+                resultOwners.freeAtProducers(list);
             }
         });
     }
 
-    // Frees results at their producers directly, since the owner that ordered them is not connected.
-    private void freeAtProducers(List<String> handles) {
-        for (String handle : handles) {
-            EndpointState producer = context.table().findByHandle(handle);
-            if (producer != null && producer.getRequestLimit().maySend(timers.now())) {
-                producer.getRequestLimit().onSent(timers.now());
-                context.calls().release(producer.getEndpoint(), List.of(handle), () -> {});
-            }
-        }
-    }
-
     /**
-     * Gets the backlog of a service, including the pieces submitted since the last report of its owner.
+     * Gets the backlog of a service: the sum over the pools of which an owner can be reached, including the pieces
+     * submitted since the last report of each owner.
      *
      * @param service the stage service, not null
      * @return the backlog, never null
      */
     public StageBacklog getBacklog(String service) {
-        Member owner = owners.getPreferred(service);
-        if (owner.equals(members.getSelf())) {
-            return pool(service).getBacklog();
-        }
-        return reportedBacklog(service).get();
+        return selector.getOpenPools(service).stream()
+                .map(backlogs::get)
+                .reduce(StageBacklog::plus)
+                .orElse(StageBacklog.EMPTY);
     }
 
     /**
      * Gets the staleness of the backlog that {@link #getBacklog} returns.
      *
      * @param service the stage service, not null
-     * @return the staleness in nanoseconds, 0 if this instance owns the service
+     * @return the greatest staleness of a pool in nanoseconds, 0 if this instance owns all pools
      */
     public long getBacklogStaleness(String service) {
-        boolean isOwner = owners.getPreferred(service).equals(members.getSelf());
-        return isOwner ? 0 : timers.now() - reportedBacklog(service).getReportedAtNanos();
+        return selector.getOpenPools(service).stream()
+                .mapToLong(backlogs::getStalenessNanos)
+                .max()
+                .orElse(0);
     }
 
     /**
@@ -248,12 +244,12 @@
         if (message instanceof PeerMessage.SubmitPieces submit) {
             accept(from, submit);
         } else if (message instanceof PeerMessage.PiecesEnded ended) {
-            ended.results().forEach(result -> onRemoteResult(from, ended.service(), result));
+            ended.results().forEach(result -> onRemoteResult(from, ended.pool(), result));
         } else if (message instanceof PeerMessage.CancelPieces cancel) {
             heartbeats.onCancelled(from, cancel.requestId());
-            pool(cancel.service()).cancel(cancel.requestId());
+            pool(cancel.pool()).cancel(cancel.requestId());
         } else if (message instanceof PeerMessage.ReleaseResults release) {
-            pool(release.service()).release(release.handles());
+            pool(release.pool()).release(release.handles());
         } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
             onHeartbeat(from, heartbeat);
         }
@@ -270,15 +266,22 @@
     }
 
     private void accept(String from, PeerMessage.SubmitPieces submit) {
-        PieceListener resultSender = new RemoteResultSender(from, submit.service(), peers, heartbeats);
+        PieceListener resultSender = new RemoteResultSender(from, submit.pool(), peers, heartbeats);
         if (leaving) {
-            log.write("pieces.rejected", "peer", from, "service", submit.service(), "reason", "instance is leaving");
+            log.write(
+                    "pieces.rejected",
+                    "peer",
+                    from,
+                    "service",
+                    submit.pool().service(),
+                    "reason",
+                    "instance is leaving");
             submit.orders()
                     .forEach(order ->
                             resultSender.onResult(PieceResult.notProduced(order.id(), PieceResult.Status.WITHDRAWN)));
         } else {
             heartbeats.onSubmitted(from, submit.orders());
-            pool(submit.service()).submit(submit.orders(), resultSender);
+            pool(submit.pool()).submit(submit.orders(), resultSender);
         }
     }
 
@@ -286,23 +289,19 @@
         if (owners.setLeaving(from, heartbeat.leaving())) {
             log.write("peer.leaving", "peer", from, "leaving", heartbeat.leaving());
         }
-        heartbeat.backlogs().forEach((service, backlog) -> {
-            if (owners.getPreferred(service).name().equals(from)) {
-                reportedBacklog(service).set(backlog, timers.now());
-            }
-        });
+        backlogs.onReported(from, heartbeat.backlogs());
     }
 
-    private void onRemoteResult(String from, String service, PieceResult result) {
+    private void onRemoteResult(String from, PoolKey pool, PieceResult result) {
         SentPiece piece = outstanding.get(result.id());
         if (piece == null) {
             if (result.status() == PieceResult.Status.DONE) {
                 // The result is not needed any more, so its producer can free it at once.
-                peers.send(from, new PeerMessage.ReleaseResults(service, List.of(result.handle())));
+                peers.send(from, new PeerMessage.ReleaseResults(pool, List.of(result.handle())));
             }
             return;
         }
-        boolean fromCurrentOwner = piece.owner.equals(from);
+        boolean fromCurrentOwner = piece.destination.owner().equals(from);
         if (result.status() == PieceResult.Status.WITHDRAWN) {
             if (fromCurrentOwner) {
                 outstanding.remove(result.id());
@@ -310,40 +309,47 @@
             }
         } else if (fromCurrentOwner || result.status() == PieceResult.Status.DONE) {
             outstanding.remove(result.id());
-            deliver(piece, from, result);
+            deliver(piece, new SentPiece.Destination(pool, from), result);
         }
     }
 
     // -----------------------------------------------------------------------
 
     private void send(String service, List<SentPiece> pieces) {
-        Map<String, List<SentPiece>> byOwner = new LinkedHashMap<>();
+        Map<SentPiece.Destination, List<SentPiece>> byDestination = new LinkedHashMap<>();
+        SentPiece previous = null;
+        SentPiece.Destination destination = null;
         for (SentPiece piece : pieces) {
-            Member owner = owners.getCandidates(service).stream()
-                    .filter(m -> !piece.triedOwners.contains(m.name()))
-                    .findFirst()
-                    .orElse(null);
-            if (owner == null) {
+            if (previous == null || !piece.isSentLike(previous)) {
+                destination = selector.findUntried(piece);
+            }
+            previous = piece;
+            if (destination == null) {
                 piece.listener.onResult(PieceResult.notProduced(piece.order.id(), PieceResult.Status.FAILED));
             } else {
-                byOwner.computeIfAbsent(owner.name(), o -> new ArrayList<>()).add(piece);
+                byDestination
+                        .computeIfAbsent(destination, d -> new ArrayList<>())
+                        .add(piece);
             }
         }
-        byOwner.forEach((owner, list) -> sendTo(service, owner, list));
+        byDestination.forEach((target, list) -> sendTo(service, target, list));
     }
 
-    private void sendTo(String service, String owner, List<SentPiece> pieces) {
+    private void sendTo(String service, SentPiece.Destination destination, List<SentPiece> pieces) {
         List<PieceOrder> orders = pieces.stream().map(piece -> piece.order).toList();
         pieces.forEach(piece -> {
-            piece.triedOwners.add(owner);
-            piece.owner = owner;
+            piece.triedDestinations.add(destination);
+            piece.destination = destination;
             piece.sentNanos = timers.now();
         });
+        String owner = destination.owner();
         if (owner.equals(members.getSelf().name())) {
             Map<PieceId, SentPiece> piecesById = new HashMap<>();
             pieces.forEach(piece -> piecesById.put(piece.order.id(), piece));
-            pool(service).submit(orders, result -> onOwnResult(piecesById.get(result.id()), result));
-        } else if (peers.send(owner, new PeerMessage.SubmitPieces(service, orders))) {
+            pool(destination.pool())
+                    .submit(orders, result -> onOwnResult(piecesById.get(result.id()), destination, result));
+        } else if (peers.send(owner, new PeerMessage.SubmitPieces(destination.pool(), orders))) {
+            backlogs.onSubmitted(destination.pool(), orders);
             pieces.forEach(outstanding::add);
         } else {
             suspect(owner, "not connected");
@@ -351,20 +357,20 @@
         }
     }
 
-    private void onOwnResult(@Nullable SentPiece piece, PieceResult result) {
+    private void onOwnResult(@Nullable SentPiece piece, SentPiece.Destination origin, PieceResult result) {
         if (piece == null) {
             return;
         }
         if (result.status() == PieceResult.Status.WITHDRAWN) {
             send(piece.service, List.of(piece));
         } else {
-            deliver(piece, members.getSelf().name(), result);
+            deliver(piece, origin, result);
         }
     }
 
-    private void deliver(SentPiece piece, String owner, PieceResult result) {
+    private void deliver(SentPiece piece, SentPiece.Destination origin, PieceResult result) {
         if (result.status() == PieceResult.Status.DONE) {
-            resultOwners.add(result.handle(), owner);
+            resultOwners.add(result.handle(), origin);
         }
         piece.listener.onResult(result);
     }
@@ -384,7 +390,7 @@
                     "peers",
                     peers.getConnectedPeers().size());
         }
-        resubmitWhere(o -> o.owner.equals(member), reason);
+        resubmitWhere(o -> o.destination.owner().equals(member), reason);
     }
 
     private void resubmitWhere(Predicate<SentPiece> condition, String reason) {
@@ -407,7 +413,7 @@
             onMembersChanged();
         }
         sendHeartbeats(heartbeats.selectDue(
-                peers.getConnectedPeers(), services.stream().anyMatch(owners::isOwnerOf)));
+                peers.getConnectedPeers(), layout.getPools().stream().anyMatch(owners::isOwnerOf)));
         // Messages that arrived while this loop was late are processed after this tick.
         long boundNanos = PeerHeartbeats.SILENCE_BOUND_NANOS + lateNanos;
         Set<String> silentOwners = outstanding.findSilentOwners(owners, timers.now() - boundNanos);
@@ -421,22 +427,20 @@
         if (receivers.isEmpty()) {
             return;
         }
-        Map<String, StageBacklog> backlogs = new HashMap<>();
-        pools.forEach((service, pool) -> backlogs.put(service, pool.getBacklog()));
-        PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(backlogs, leaving);
+        PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(backlogs.getOwn(layout.getPools()), leaving);
         receivers.forEach(name -> peers.send(name, heartbeat));
     }
 
     /** Withdraws queued pieces after a pause of the process, in which other instances may have resubmitted theirs. */
     public void onProcessPaused() {
-        pools.values().forEach(pool -> pool.withdrawAll("process was paused"));
+        List.copyOf(pools.values()).forEach(pool -> pool.withdrawAll("process was paused"));
     }
 
-    private ReportedBacklog reportedBacklog(String service) {
-        return reportedBacklogs.computeIfAbsent(service, s -> new ReportedBacklog());
-    }
-
-    private FleetStagePool pool(String service) {
-        return pools.computeIfAbsent(service, s -> new FleetStagePool(s, context));
+    private FleetStagePool pool(PoolKey key) {
+        return pools.computeIfAbsent(key, k -> {
+            FleetStagePool pool = new FleetStagePool(k, context);
+            pool.setSpec(layout.getSpec(k.service()));
+            return pool;
+        });
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.fuchsiawharf.core.error.ErrorCode;
 import org.fuchsiawharf.core.model.EndpointStatus;
@@ -46,6 +45,7 @@
     public RelayInstance(RelayContext context) {
         this.context = context;
         this.forecast = new StageForecast(this::findPieceService, context.pools()::getBacklog);
+        context.requestShares().setStageOwners(context.pools()::rankOwners);
     }
 
     // -----------------------------------------------------------------------
@@ -64,11 +64,6 @@
         config = next;
         statistics.keySet().retainAll(next.getRouteNames());
         context.idleConnections().setServices(next.getServices().values());
-        context.requestShares()
-                .setStageServices(next.getServices().values().stream()
-                        .filter(spec -> spec.pieces() != null)
-                        .map(ServiceSpec::name)
-                        .collect(Collectors.toSet()));
         context.pools().setServices(next.getServices().values());
         context.log()
                 .write(
--- a/core/src/main/java/org/fuchsiawharf/core/relay/StageForecast.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/StageForecast.java
@@ -95,13 +95,7 @@
      */
     public double waitMillis(String service, int rank) {
         PieceService spec = services.apply(service);
-        StageBacklog backlog = backlogs.apply(service);
-        int queued = backlog.queuedBefore(rank);
-        if (spec == null || backlog.endpoints() == 0 || (backlog.idle() > 0 && queued == 0)) {
-            return 0;
-        }
-        double residualMillis = spec.callMillisFor(spec.batch() / 2) / 2 / (backlog.endpoints() * spec.slots());
-        return residualMillis + queued / (spec.maxPiecesPerMilli() * backlog.endpoints());
+        return spec == null ? 0 : backlogs.apply(service).waitMillis(spec, rank);
     }
 
     private double callMillis(String service, int pieces, int rank) {
--- a/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/StageRun.java
@@ -251,7 +251,7 @@
         int stage = result.id().stage();
         if (ended) {
             if (result.status() == PieceResult.Status.DONE) {
-                pools.release(serviceOf(stage), List.of(result.handle()));
+                pools.release(List.of(result.handle()));
             }
             return;
         }
@@ -320,7 +320,7 @@
         List<String> handles = stages[stage].availableHandles();
         if (!handles.isEmpty() && !stages[stage].released) {
             stages[stage].released = true;
-            pools.release(serviceOf(stage), handles);
+            pools.release(handles);
         }
     }
 
--- a/core/src/test/java/org/fuchsiawharf/core/member/TestMemberTable.java
+++ b/core/src/test/java/org/fuchsiawharf/core/member/TestMemberTable.java
@@ -10,6 +10,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 class TestMemberTable {
     private static Member member(int i, double capacity) {
@@ -64,6 +65,42 @@
         assertThat(keyCounts.getOrDefault("m1", 0), is(greaterThan(3 * keyCounts.getOrDefault("m0", 0))));
     }
 
+    @Test
+    void ranksInstancesFirstThatBearTheWorkOfTheWholeFleet() {
+        List<Member> all = new ArrayList<>(members(6));
+        for (int i = 6; i < 77; i++) {
+            all.add(member(i, 0.36));
+        }
+        for (int i = 0; i < 200; i++) {
+            List<Member> ranked = table(70, all).rankByCapacity("key" + i, "", 0.9);
+            assertThat(ranked.subList(0, 6).stream().allMatch(m -> m.capacity() == 1), is(true));
+            assertThat(ranked, is(table(0, all).rankByCapacity("key" + i, "", 0.9)));
+        }
+    }
+
+    @Test
+    void spreadsRolesAmongAllInstancesThatBearThem() {
+        List<Member> all = new ArrayList<>(List.of(member(0, 0.51)));
+        for (int i = 1; i < 77; i++) {
+            all.add(member(i, 0.49));
+        }
+        int ofLargest = 0;
+        for (int i = 0; i < 1_000; i++) {
+            ofLargest += table(0, all).rankByCapacity("key" + i, "", 0.4).get(0).capacity() > 0.5 ? 1 : 0;
+        }
+        assertThat(ofLargest, is(lessThan(50)));
+    }
+
+    @Test
+    void ranksInstancesOfPreferredZoneFirst() {
+        Member smallInZone = new Member("near", 1, "b", "10.0.0.9", 7_000, 0.1);
+        List<Member> all = new ArrayList<>(members(3));
+        all.add(smallInZone);
+        assertThat(table(0, all).rankByCapacity("key", "b", 0.5).get(0), is(smallInZone));
+        assertThat(table(0, all).rankByCapacity("key", "", 0.5).get(3), is(smallInZone));
+        assertThat(table(0, all).countByCapacity(0.5), is(3));
+    }
+
     @Test
     void keepsOwnInstanceWhenListOmitsIt() {
         MemberTable table = new MemberTable(member(0, 1));
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/PoolFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/PoolFixture.java
@@ -21,6 +21,7 @@
  */
 final class PoolFixture {
     static final String SERVICE = "encode";
+    static final PoolKey POOL = PoolKey.ofAllZones(SERVICE);
     static final long MILLI = 1_000_000L;
 
     final TimerService timers = new TimerService(0);
@@ -39,7 +40,7 @@
     /** Creates a fixture whose pool writes its decisions to a log. */
     PoolFixture(DecisionLog log, int batch, double resultSpaceMb, String... zones) {
         context = new PoolContext(table, new OutlierEjection(), calls, timers, budget, log, Meters.NONE);
-        pool = new FleetStagePool(SERVICE, context);
+        pool = new FleetStagePool(POOL, context);
         listEndpoints(zones);
         pool.setSpec(new PieceService(1, 2, batch, 200, 20, resultSpaceMb, 4_000));
     }
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestOutstandingPieces.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestOutstandingPieces.java
@@ -17,7 +17,8 @@
         PieceOrder order =
                 new PieceOrder(new PieceId(request, stage, 0), "key", List.of(), new PieceTerms(0, "", 0, 0, 0, 0));
         SentPiece piece = new SentPiece(service, order, result -> {});
-        piece.owner = owner;
+        piece.destination = new SentPiece.Destination(PoolKey.ofAllZones(service), owner);
+        piece.triedDestinations.add(piece.destination);
         pieces.add(piece);
         return order.id();
     }
@@ -27,7 +28,9 @@
         add("encode", "r1", 0, "owner-1");
         PieceId otherService = add("rank", "r1", 1, "owner-2");
         PieceId otherRequest = add("encode", "r2", 0, "owner-3");
-        assertThat(pieces.removeRequest("encode", "r1"), contains("owner-1"));
+        assertThat(
+                pieces.removeRequest("encode", "r1"),
+                contains(new SentPiece.Destination(PoolKey.ofAllZones("encode"), "owner-1")));
         assertThat(pieces.get(otherService), is(notNullValue()));
         assertThat(pieces.get(otherRequest), is(notNullValue()));
         assertThat(pieces.size(), is(2));
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestStagePools.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestStagePools.java
@@ -105,12 +105,11 @@
     }
 
     private void sendHeartbeat(Member from, boolean leaving) {
-        pools.onMessage(
-                from.name(), new PeerMessage.Heartbeat(Map.of(PoolFixture.SERVICE, StageBacklog.EMPTY), leaving));
+        pools.onMessage(from.name(), new PeerMessage.Heartbeat(Map.of(PoolFixture.POOL, StageBacklog.EMPTY), leaving));
     }
 
     private void sendResults(Member from, PieceResult... ended) {
-        pools.onMessage(from.name(), new PeerMessage.PiecesEnded(PoolFixture.SERVICE, List.of(ended)));
+        pools.onMessage(from.name(), new PeerMessage.PiecesEnded(PoolFixture.POOL, List.of(ended)));
     }
 
     private static PieceId id(int piece) {
@@ -182,7 +181,7 @@
         assertThat(results, contains(PieceResult.done(id(0), "second")));
         assertThat(
                 peers.messagesTo(owner, PeerMessage.ReleaseResults.class),
-                contains(new PeerMessage.ReleaseResults(PoolFixture.SERVICE, List.of("first"))));
+                contains(new PeerMessage.ReleaseResults(PoolFixture.POOL, List.of("first"))));
     }
 
     @Test
@@ -199,7 +198,7 @@
     void runsPiecesOfConnectedInstanceThatIsNotListed() {
         peers.connected.add("unlisted");
         PieceOrder order = PoolFixture.order("x", 0, fixture.terms(1_000, LONG_DEADLINE_MILLIS));
-        pools.onMessage("unlisted", new PeerMessage.SubmitPieces(PoolFixture.SERVICE, List.of(order)));
+        pools.onMessage("unlisted", new PeerMessage.SubmitPieces(PoolFixture.POOL, List.of(order)));
         assertThat(fixture.calls.sent, hasSize(1));
         fixture.calls.last().answerProduced();
         List<PeerMessage> received = peers.sent.getOrDefault("unlisted", List.of());
@@ -216,7 +215,7 @@
     void withdrawsReceivedPiecesWhileLeaving() {
         pools.leave();
         PieceOrder order = PoolFixture.order("x", 0, fixture.terms(1_000, LONG_DEADLINE_MILLIS));
-        pools.onMessage(zoneOwner.name(), new PeerMessage.SubmitPieces(PoolFixture.SERVICE, List.of(order)));
+        pools.onMessage(zoneOwner.name(), new PeerMessage.SubmitPieces(PoolFixture.POOL, List.of(order)));
         assertThat(peers.messagesTo(zoneOwner, PeerMessage.PiecesEnded.class), hasSize(1));
         assertThat(fixture.calls.sent, is(empty()));
     }
@@ -227,14 +226,14 @@
         for (int i = 0; i < 9; i++) {
             orders.add(PoolFixture.order("x", i, fixture.terms(5_000, LONG_DEADLINE_MILLIS)));
         }
-        pools.onMessage(zoneOwner.name(), new PeerMessage.SubmitPieces(PoolFixture.SERVICE, orders));
+        pools.onMessage(zoneOwner.name(), new PeerMessage.SubmitPieces(PoolFixture.POOL, orders));
         assertThat(fixture.calls.sent, hasSize(2));
         pools.leave();
         List<PeerMessage.PiecesEnded> ended = peers.messagesTo(zoneOwner, PeerMessage.PiecesEnded.class);
         assertThat(
                 ended,
                 contains(new PeerMessage.PiecesEnded(
-                        PoolFixture.SERVICE,
+                        PoolFixture.POOL,
                         List.of(PieceResult.notProduced(orders.get(8).id(), PieceResult.Status.WITHDRAWN)))));
         List.copyOf(fixture.calls.sent).forEach(FakePieceCalls.SentCall::answerProduced);
         assertThat(
@@ -250,7 +249,7 @@
         for (int i = 0; i < 4; i++) {
             orders.add(PoolFixture.order("x", i, fixture.terms(5_000, LONG_DEADLINE_MILLIS)));
         }
-        pools.onMessage(zoneOwner.name(), new PeerMessage.SubmitPieces(PoolFixture.SERVICE, orders));
+        pools.onMessage(zoneOwner.name(), new PeerMessage.SubmitPieces(PoolFixture.POOL, orders));
         fixture.calls.last().answerProduced();
         List<PeerMessage.PiecesEnded> ended = peers.messagesTo(zoneOwner, PeerMessage.PiecesEnded.class);
         assertThat(ended, hasSize(1));
@@ -260,7 +259,7 @@
     @Test
     void reportsResultsToSubmittingInstance() {
         PieceOrder order = PoolFixture.order("x", 0, fixture.terms(1_000, LONG_DEADLINE_MILLIS));
-        pools.onMessage(zoneOwner.name(), new PeerMessage.SubmitPieces(PoolFixture.SERVICE, List.of(order)));
+        pools.onMessage(zoneOwner.name(), new PeerMessage.SubmitPieces(PoolFixture.POOL, List.of(order)));
         fixture.calls.last().answerProduced();
         assertThat(peers.messagesTo(zoneOwner, PeerMessage.PiecesEnded.class), hasSize(1));
     }
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -10,6 +10,7 @@
 import org.fuchsiawharf.core.pieces.PieceOrder;
 import org.fuchsiawharf.core.pieces.PieceResult;
 import org.fuchsiawharf.core.pieces.PieceTerms;
+import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.pieces.StageBacklog;
 import org.fuchsiawharf.core.time.Clock;
 import org.fuchsiawharf.peer.generated.PeerProto;
@@ -32,22 +33,26 @@
     PeerProto.Frame encode(PeerMessage message) {
         PeerProto.Frame.Builder frame = PeerProto.Frame.newBuilder();
         if (message instanceof PeerMessage.SubmitPieces submit) {
-            PeerProto.SubmitPieces.Builder builder =
-                    PeerProto.SubmitPieces.newBuilder().setService(submit.service());
+            PeerProto.SubmitPieces.Builder builder = PeerProto.SubmitPieces.newBuilder()
+                    .setService(submit.pool().service())
+                    .setZone(submit.pool().zone());
             submit.orders().forEach(order -> builder.addOrders(encodeOrder(order)));
             frame.setSubmit(builder);
         } else if (message instanceof PeerMessage.PiecesEnded ended) {
-            PeerProto.PiecesEnded.Builder builder =
-                    PeerProto.PiecesEnded.newBuilder().setService(ended.service());
+            PeerProto.PiecesEnded.Builder builder = PeerProto.PiecesEnded.newBuilder()
+                    .setService(ended.pool().service())
+                    .setZone(ended.pool().zone());
             ended.results().forEach(result -> builder.addResults(encodeResult(result)));
             frame.setEnded(builder);
         } else if (message instanceof PeerMessage.CancelPieces cancel) {
             frame.setCancel(PeerProto.CancelPieces.newBuilder()
-                    .setService(cancel.service())
+                    .setService(cancel.pool().service())
+                    .setZone(cancel.pool().zone())
                     .setRequestId(cancel.requestId()));
         } else if (message instanceof PeerMessage.ReleaseResults release) {
             frame.setRelease(PeerProto.ReleaseResults.newBuilder()
-                    .setService(release.service())
+                    .setService(release.pool().service())
+                    .setZone(release.pool().zone())
                     .addAllHandles(release.handles()));
         } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
             frame.setHeartbeat(encodeHeartbeat(heartbeat));
@@ -70,22 +75,31 @@
         return switch (frame.getKindCase()) {
             case SUBMIT ->
                 new PeerMessage.SubmitPieces(
-                        frame.getSubmit().getService(),
+                        new PoolKey(
+                                frame.getSubmit().getService(),
+                                frame.getSubmit().getZone()),
                         frame.getSubmit().getOrdersList().stream()
                                 .map(this::decodeOrder)
                                 .toList());
             case ENDED ->
                 new PeerMessage.PiecesEnded(
-                        frame.getEnded().getService(),
+                        new PoolKey(
+                                frame.getEnded().getService(), frame.getEnded().getZone()),
                         frame.getEnded().getResultsList().stream()
                                 .map(PeerCodec::decodeResult)
                                 .toList());
             case CANCEL ->
                 new PeerMessage.CancelPieces(
-                        frame.getCancel().getService(), frame.getCancel().getRequestId());
+                        new PoolKey(
+                                frame.getCancel().getService(),
+                                frame.getCancel().getZone()),
+                        frame.getCancel().getRequestId());
             case RELEASE ->
                 new PeerMessage.ReleaseResults(
-                        frame.getRelease().getService(), frame.getRelease().getHandlesList());
+                        new PoolKey(
+                                frame.getRelease().getService(),
+                                frame.getRelease().getZone()),
+                        frame.getRelease().getHandlesList());
             case HEARTBEAT -> decodeHeartbeat(frame.getHeartbeat());
             case ENTRIES -> decodeEntries(frame.getEntries());
             case ASK_STATE -> new PeerMessage.AskState(frame.getAskState().getRevision());
@@ -162,8 +176,9 @@
         PeerProto.Heartbeat.Builder builder = PeerProto.Heartbeat.newBuilder().setLeaving(heartbeat.leaving());
         heartbeat
                 .backlogs()
-                .forEach((service, backlog) -> builder.addBacklogs(PeerProto.Backlog.newBuilder()
-                        .setService(service)
+                .forEach((pool, backlog) -> builder.addBacklogs(PeerProto.Backlog.newBuilder()
+                        .setService(pool.service())
+                        .setZone(pool.zone())
                         .addAllQueuedByRank(backlog.queuedByRank())
                         .setEndpoints(backlog.endpoints())
                         .setIdle(backlog.idle())));
@@ -171,11 +186,13 @@
     }
 
     private static PeerMessage decodeHeartbeat(PeerProto.Heartbeat heartbeat) {
-        Map<String, StageBacklog> backlogs = new HashMap<>();
+        Map<PoolKey, StageBacklog> backlogs = new HashMap<>();
         for (PeerProto.Backlog backlog : heartbeat.getBacklogsList()) {
             List<Integer> queued = backlog.getQueuedByRankList();
             if (queued.size() == StageBacklog.RANKS) {
-                backlogs.put(backlog.getService(), new StageBacklog(queued, backlog.getEndpoints(), backlog.getIdle()));
+                backlogs.put(
+                        new PoolKey(backlog.getService(), backlog.getZone()),
+                        new StageBacklog(queued, backlog.getEndpoints(), backlog.getIdle()));
             }
         }
         return new PeerMessage.Heartbeat(backlogs, heartbeat.getLeaving());
--- a/peer/src/test/java/org/fuchsiawharf/peer/TestPeerNetwork.java
+++ b/peer/src/test/java/org/fuchsiawharf/peer/TestPeerNetwork.java
@@ -27,6 +27,7 @@
 import org.fuchsiawharf.core.pieces.PieceOrder;
 import org.fuchsiawharf.core.pieces.PieceResult;
 import org.fuchsiawharf.core.pieces.PieceTerms;
+import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.pieces.StageBacklog;
 import org.fuchsiawharf.peer.generated.PeerProto;
 import org.junit.jupiter.api.AfterEach;
@@ -40,6 +41,8 @@
 import static org.hamcrest.Matchers.nullValue;
 
 class TestPeerNetwork {
+    private static final PoolKey POOL = new PoolKey("s", "a");
+
     private static final long TIMEOUT_SECONDS = 10;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -120,13 +123,13 @@
         PieceId id = new PieceId("r", 1, 2);
         List<PeerMessage> messages = List.of(
                 new PeerMessage.PiecesEnded(
-                        "s",
+                        POOL,
                         List.of(
                                 PieceResult.done(id, "10.0.0.1:80/x"),
                                 PieceResult.notProduced(id, PieceResult.Status.INPUT_GONE))),
-                new PeerMessage.CancelPieces("s", "r"),
-                new PeerMessage.ReleaseResults("s", List.of("h1", "h2")),
-                new PeerMessage.Heartbeat(Map.of("s", new StageBacklog(List.of(1, 2, 3, 4, 5, 6), 3, 1)), true),
+                new PeerMessage.CancelPieces(POOL, "r"),
+                new PeerMessage.ReleaseResults(POOL, List.of("h1", "h2")),
+                new PeerMessage.Heartbeat(Map.of(POOL, new StageBacklog(List.of(1, 2, 3, 4, 5, 6), 3, 1)), true),
                 new PeerMessage.AskState(0));
         for (PeerMessage message : messages) {
             assertThat(pair[0].network.send("b", message), is(true));
@@ -143,7 +146,7 @@
         PieceTerms terms = new PieceTerms(2, "z", 10, 20, due, due + 1_000_000_000L);
         PieceOrder withKey = new PieceOrder(new PieceId("r", 0, 0), "key", List.of(), terms);
         PieceOrder withInputs = new PieceOrder(new PieceId("r", 1, 0), null, List.of("h"), terms);
-        pair[0].network.send("b", new PeerMessage.SubmitPieces("s", List.of(withKey, withInputs)));
+        pair[0].network.send("b", new PeerMessage.SubmitPieces(POOL, List.of(withKey, withInputs)));
         PeerMessage.SubmitPieces received = (PeerMessage.SubmitPieces) pair[1].nextMessage();
         assertThat(received.orders().get(0).key(), is("key"));
         assertThat(received.orders().get(1).key(), is(nullValue()));
