--- /dev/null
+++ b/peer/src/test/java/org/fuchsiawharf/peer/TestPeerCodec.java
@@ -0,0 +1,82 @@
+package org.fuchsiawharf.peer;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.fuchsiawharf.core.member.PeerMessage;
+import org.fuchsiawharf.core.pieces.PieceId;
+import org.fuchsiawharf.core.pieces.PieceOrder;
+import org.fuchsiawharf.core.pieces.PieceResult;
+import org.fuchsiawharf.core.pieces.PieceTerms;
+import org.fuchsiawharf.core.pieces.PoolKey;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class TestPeerCodec {
+    private static final PoolKey POOL = new PoolKey("service", "lim-c");
+    private static final String REQUEST_ID = "14da6f38e5b2907c";
+    private static final int PIECES = 10;
+
+    /** Bytes that a further piece of the same request and stage may add to a message, besides its handle. */
+    private static final int MAX_BYTES_PER_FURTHER_PIECE = 16;
+
+    private final PeerCodec codec = new PeerCodec(() -> 0);
+
+    private static String handle(int number) {
+        return "10.3.64.%d:8108/5c1e07a2e4%02x".formatted(20 + number, number);
+    }
+
+    private static PeerMessage.SubmitPieces submit(String requestId, int pieces) {
+        List<String> inputs =
+                IntStream.range(0, 6).mapToObj(TestPeerCodec::handle).toList();
+        PieceTerms terms = new PieceTerms(2, "lim-a", 6_000, 360_000, 1_700_000_000L, 20_000_000_000L);
+        return new PeerMessage.SubmitPieces(
+                POOL,
+                IntStream.range(0, pieces)
+                        .mapToObj(piece -> new PieceOrder(new PieceId(requestId, 3, piece), null, inputs, terms))
+                        .toList());
+    }
+
+    private static PeerMessage.PiecesEnded ended(String requestId, int pieces) {
+        return new PeerMessage.PiecesEnded(
+                POOL,
+                IntStream.range(0, pieces)
+                        .mapToObj(piece -> PieceResult.done(new PieceId(requestId, 3, piece), handle(piece)))
+                        .toList());
+    }
+
+    private int size(PeerMessage message) {
+        return codec.encode(message).getSerializedSize();
+    }
+
+    private int occurrences(String text, PeerMessage message) {
+        String encoded = new String(codec.encode(message).toByteArray(), StandardCharsets.ISO_8859_1);
+        return encoded.split(text, -1).length - 1;
+    }
+
+    // An owner received the inputs and the terms of a request once for each of its pieces.
+    @Test
+    void sharedPartOfPiecesIsSubmittedOnce() {
+        PeerMessage.SubmitPieces submit = submit(REQUEST_ID, PIECES);
+        assertThat(occurrences(REQUEST_ID, submit), is(1));
+        assertThat(occurrences(handle(0), submit), is(1));
+        assertThat(
+                size(submit) - size(submit(REQUEST_ID, 1)),
+                lessThanOrEqualTo((PIECES - 1) * MAX_BYTES_PER_FURTHER_PIECE));
+    }
+
+    // The results of one call repeated the id of the request for each piece.
+    @Test
+    void resultsOfOneRequestNameItOnce() {
+        PeerMessage.PiecesEnded ended = ended(REQUEST_ID, PIECES);
+        assertThat(occurrences(REQUEST_ID, ended), is(1));
+        int handleBytes = handle(0).length();
+        assertThat(
+                size(ended) - size(ended(REQUEST_ID, 1)),
+                lessThanOrEqualTo((PIECES - 1) * (handleBytes + MAX_BYTES_PER_FURTHER_PIECE)));
+    }
+}
