Send groups of pieces only to peers that have stated that they read them

During a rollout, callers of a service whose owner ran the version before would see their stages wait for the deadline: the owner ignored the groups of SubmitPieces, the only form in which pieces were sent, and saw a submission without orders. Results that an owner of this version sent to an instance of the version before were ignored likewise. The effect on calls follows from the code and was not measured; the frames were.

Cause: the sender did not know which fields the receiver reads.

Hello and Heartbeat now carry the message version that the sender reads (absent is 0, groups came with 1). A message to a peer is encoded for the version that the peer stated last, and as separate orders or results if it has stated none. Two peers may each have opened a connection, and each sends its heartbeats on its own; a statement therefore applies to the peer's name and both connections. It is discarded when a connection to the peer is closed and replaced by each Hello, so that a peer restarted with an earlier version gets separate pieces. The first submissions on a connection to a peer that has sent no heartbeat since are listed separately; so are single messages sent without a lasting connection.

TestPeerCodec.separatePiecesNeedNoGroups decodes separate pieces from the earlier fields alone; it does not compile before, as encoding now takes the receiver's version. The other tests of TestPeerCodec pass the version with groups and assert the same as before.

--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -18,18 +18,25 @@
  * <p>Points in time are encoded relative to the moment of encoding, since instances share no clock. Thread-safe.
  */
 final class PeerCodec {
+    /** The message version that this codec reads; peer.proto lists the versions. */
+    static final int MESSAGE_VERSION = PieceCodec.GROUPS_VERSION;
+
+    /** The message version of a peer that has stated none. */
+    static final int UNSTATED_VERSION = 0;
+
     private final PieceCodec pieceCodec;
 
     PeerCodec(Clock clock) {
         pieceCodec = new PieceCodec(clock);
     }
 
-    PeerProto.Frame encode(PeerMessage message) {
+    /** Encodes a message for a receiver that reads the given message version. */
+    PeerProto.Frame encode(PeerMessage message, int receiverVersion) {
         PeerProto.Frame.Builder frame = PeerProto.Frame.newBuilder();
         if (message instanceof PeerMessage.SubmitPieces submit) {
-            frame.setSubmit(pieceCodec.encode(submit));
+            frame.setSubmit(pieceCodec.encode(submit, receiverVersion));
         } else if (message instanceof PeerMessage.PiecesEnded ended) {
-            frame.setEnded(pieceCodec.encode(ended));
+            frame.setEnded(pieceCodec.encode(ended, receiverVersion));
         } else if (message instanceof PeerMessage.CancelPieces cancel) {
             frame.setCancel(PeerProto.CancelPieces.newBuilder()
                     .setService(cancel.pool().service())
@@ -83,7 +90,8 @@
     // -----------------------------------------------------------------------
 
     private static PeerProto.Heartbeat.Builder encodeHeartbeat(PeerMessage.Heartbeat heartbeat) {
-        PeerProto.Heartbeat.Builder builder = PeerProto.Heartbeat.newBuilder().setLeaving(heartbeat.leaving());
+        PeerProto.Heartbeat.Builder builder =
+                PeerProto.Heartbeat.newBuilder().setLeaving(heartbeat.leaving()).setMessageVersion(MESSAGE_VERSION);
         heartbeat
                 .backlogs()
                 .forEach((pool, backlog) -> builder.addBacklogs(PeerProto.Backlog.newBuilder()
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerConnection.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerConnection.java
@@ -29,8 +29,9 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, PeerProto.Frame frame) {
         if (frame.getKindCase() == PeerProto.Frame.KindCase.HELLO) {
-            peerName = frame.getHello().getName();
-            network.onHello(peerName, context.channel());
+            PeerProto.Hello hello = frame.getHello();
+            peerName = hello.getName();
+            network.onHello(hello.getName(), hello.getMessageVersion(), context.channel());
             return;
         }
         String sender = peerName;
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
@@ -39,8 +39,12 @@
  *
  * <p>An instance opens connections to the peers that it sends requests to; a peer responds on the same connection.
  * A frame of an unknown kind is dropped and counted. A frame that is too large or cannot be decoded is counted and
- * closes the connection. The methods of {@link PeerPort} are called on the decision loop; channel handlers run on
- * the I/O thread.
+ * closes the connection.
+ *
+ * <p>Messages to a peer are encoded for the message version that it stated last, on whichever connection. The statement
+ * is discarded when a connection to the peer is closed, since another version may answer at its address next.
+ *
+ * <p>The methods of {@link PeerPort} are called on the decision loop; channel handlers run on the I/O thread.
  */
 public final class PeerNetwork implements PeerPort {
     /** The maximum size of a frame, about five times the size of a list of 1,000 endpoints. */
@@ -62,6 +66,7 @@
     private final PeerCodec codec;
     private final Map<String, Channel> outbound = new ConcurrentHashMap<>();
     private final Map<String, Channel> inbound = new ConcurrentHashMap<>();
+    private final Map<String, Integer> messageVersions = new ConcurrentHashMap<>();
     private final Map<String, Member> desiredPeers = new HashMap<>();
     private final Set<String> connecting = ConcurrentHashMap.newKeySet();
     private @Nullable PeerListener listener;
@@ -121,6 +126,7 @@
                 desiredPeers.remove(current.getKey());
                 Channel channel = outbound.remove(current.getKey());
                 if (channel != null) {
+                    messageVersions.remove(current.getKey());
                     channel.close();
                 }
             }
@@ -135,7 +141,9 @@
         if (channel == null) {
             return false;
         }
-        channel.writeAndFlush(codec.encode(message));
+        // Read after the channel is selected: a restarted peer may read a lower version than its predecessor.
+        int version = messageVersions.getOrDefault(peer, PeerCodec.UNSTATED_VERSION);
+        channel.writeAndFlush(codec.encode(message, version));
         meters.count("peer_messages_sent", message.getClass().getSimpleName());
         return true;
     }
@@ -185,7 +193,7 @@
             if (future.isSuccess()) {
                 Channel channel = future.channel();
                 channel.writeAndFlush(helloFrame());
-                channel.writeAndFlush(codec.encode(message));
+                channel.writeAndFlush(codec.encode(message, PeerCodec.UNSTATED_VERSION));
                 channel.eventLoop().schedule(() -> channel.close(), RESPONSE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
             } else {
                 log.write(
@@ -209,7 +217,10 @@
 
     private PeerProto.Frame helloFrame() {
         return PeerProto.Frame.newBuilder()
-                .setHello(PeerProto.Hello.newBuilder().setName(self.name()).setIncarnation(self.incarnation()))
+                .setHello(PeerProto.Hello.newBuilder()
+                        .setName(self.name())
+                        .setIncarnation(self.incarnation())
+                        .setMessageVersion(PeerCodec.MESSAGE_VERSION))
                 .build();
     }
 
@@ -246,7 +257,8 @@
 
     // -----------------------------------------------------------------------
 
-    void onHello(String name, Channel channel) {
+    void onHello(String name, int messageVersion, Channel channel) {
+        messageVersions.put(name, messageVersion);
         Channel previous = inbound.put(name, channel);
         if (previous != null && previous != channel) {
             previous.close();
@@ -254,6 +266,10 @@
     }
 
     void onFrame(String from, PeerProto.Frame frame) {
+        // Entries are removed with connections; one that sendOnce opened is in neither map.
+        if (frame.hasHeartbeat() && isConnected(from)) {
+            messageVersions.put(from, frame.getHeartbeat().getMessageVersion());
+        }
         PeerMessage message = codec.decode(frame);
         if (message == null) {
             countDroppedFrame("unknown kind");
@@ -264,8 +280,11 @@
     }
 
     void onClosed(String name, Channel channel, String detail) {
-        inbound.remove(name, channel);
+        if (inbound.remove(name, channel)) {
+            messageVersions.remove(name);
+        }
         if (outbound.remove(name, channel)) {
+            messageVersions.remove(name);
             log.write("peer.disconnected", "peer", name, "detail", detail);
             notifyListener(l -> l.onDisconnected(name, detail));
             scheduleReconnect(name);
--- a/peer/src/main/java/org/fuchsiawharf/peer/PieceCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PieceCodec.java
@@ -19,12 +19,16 @@
 /**
  * Encodes submissions and results of pieces as protobuf messages and decodes them.
  *
- * <p>Pieces of one stage of a request are encoded as a group, with what they share only once. A group keeps the order of
- * its pieces; pieces of different groups may change places. Messages that list each piece separately are decoded too.
+ * <p>Pieces of one stage of a request are encoded as a group, with what they share only once, if the receiver reads
+ * groups, and separately if not. A group keeps the order of its pieces; pieces of different groups may change places.
+ * Both forms are decoded.
  *
  * <p>Thread-safe.
  */
 final class PieceCodec {
+    /** The first message version with groups of pieces. */
+    static final int GROUPS_VERSION = 1;
+
     private static final long NANOS_PER_MICRO = 1_000;
 
     private final Clock clock;
@@ -33,10 +37,14 @@
         this.clock = clock;
     }
 
-    PeerProto.SubmitPieces encode(PeerMessage.SubmitPieces submit) {
+    PeerProto.SubmitPieces encode(PeerMessage.SubmitPieces submit, int receiverVersion) {
         PeerProto.SubmitPieces.Builder builder = PeerProto.SubmitPieces.newBuilder()
                 .setService(submit.pool().service())
                 .setZone(submit.pool().zone());
+        if (receiverVersion < GROUPS_VERSION) {
+            submit.orders().forEach(order -> builder.addOrders(encodeOrder(order)));
+            return builder.build();
+        }
         Map<PieceOrder, List<PieceOrder>> groups = submit.orders().stream()
                 .collect(Collectors.groupingBy(
                         order -> withPiece(order, 0), LinkedHashMap::new, Collectors.toUnmodifiableList()));
@@ -53,10 +61,14 @@
                         .toList());
     }
 
-    PeerProto.PiecesEnded encode(PeerMessage.PiecesEnded ended) {
+    PeerProto.PiecesEnded encode(PeerMessage.PiecesEnded ended, int receiverVersion) {
         PeerProto.PiecesEnded.Builder builder = PeerProto.PiecesEnded.newBuilder()
                 .setService(ended.pool().service())
                 .setZone(ended.pool().zone());
+        if (receiverVersion < GROUPS_VERSION) {
+            ended.results().forEach(result -> builder.addResults(encodeResult(result)));
+            return builder.build();
+        }
         Map<PieceId, List<PieceResult>> groups = ended.results().stream()
                 .collect(Collectors.groupingBy(
                         result -> withPiece(result.id(), 0), LinkedHashMap::new, Collectors.toUnmodifiableList()));
@@ -123,6 +135,14 @@
 
     // -----------------------------------------------------------------------
 
+    private static PeerProto.PieceResult encodeResult(PieceResult result) {
+        return PeerProto.PieceResult.newBuilder()
+                .setId(encodeId(result.id()))
+                .setStatus(result.status().ordinal())
+                .setHandle(result.handle())
+                .build();
+    }
+
     private static PeerProto.PieceResultGroup encodeResults(PieceId id, List<PieceResult> group) {
         PeerProto.PieceResultGroup.Builder builder = PeerProto.PieceResultGroup.newBuilder()
                 .setRequestId(id.requestId())
--- a/peer/src/test/java/org/fuchsiawharf/peer/TestPeerCodec.java
+++ b/peer/src/test/java/org/fuchsiawharf/peer/TestPeerCodec.java
@@ -53,11 +53,12 @@
     }
 
     private int size(PeerMessage message) {
-        return codec.encode(message).getSerializedSize();
+        return codec.encode(message, PieceCodec.GROUPS_VERSION).getSerializedSize();
     }
 
     private int occurrences(String text, PeerMessage message) {
-        String encoded = new String(codec.encode(message).toByteArray(), StandardCharsets.ISO_8859_1);
+        String encoded =
+                new String(codec.encode(message, PieceCodec.GROUPS_VERSION).toByteArray(), StandardCharsets.ISO_8859_1);
         return encoded.split(text, -1).length - 1;
     }
 
@@ -95,10 +96,25 @@
                                 ended("a", 2).results(),
                                 List.of(failed),
                                 ended("b", 3).results())))) {
-            assertThat(codec.decode(codec.encode(message)), is(message));
+            assertThat(codec.decode(codec.encode(message, PieceCodec.GROUPS_VERSION)), is(message));
         }
     }
 
+    // Instances of message version 0 ignored groups of pieces.
+    @Test
+    void separatePiecesNeedNoGroups() {
+        PieceResult failed = PieceResult.notProduced(new PieceId(REQUEST_ID, 3, 7), PieceResult.Status.INPUT_GONE);
+        PeerMessage.SubmitPieces submit = submit(REQUEST_ID, PIECES);
+        PeerMessage.PiecesEnded ended =
+                new PeerMessage.PiecesEnded(POOL, join(ended(REQUEST_ID, 2).results(), List.of(failed)));
+        PeerProto.Frame.Builder submitFrame = codec.encode(submit, PeerCodec.UNSTATED_VERSION).toBuilder();
+        submitFrame.setSubmit(submitFrame.getSubmit().toBuilder().clearGroups());
+        assertThat(codec.decode(submitFrame.build()), is(submit));
+        PeerProto.Frame.Builder endedFrame = codec.encode(ended, PeerCodec.UNSTATED_VERSION).toBuilder();
+        endedFrame.setEnded(endedFrame.getEnded().toBuilder().clearGroups());
+        assertThat(codec.decode(endedFrame.build()), is(ended));
+    }
+
     @Test
     void decodesPiecesListedSeparately() {
         PeerProto.PieceId id = PeerProto.PieceId.newBuilder()
