Keep the pieces of an owner's own callers when its process was paused

What callers saw: after a pause of the owner of a stage service (a frozen instance, a long collection) the requests of its own callers failed with stage_failed although nothing of them had run.

Cause: after a pause the owner withdrew all queued pieces, since other instances may have submitted theirs elsewhere. Its own came back to itself, where they counted as tried already, and no other candidate was left.

Only pieces of other instances are withdrawn now, the only ones that can have been submitted elsewhere. Own pieces stay queued and are checked against their deadline at the next dispatch.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.fuchsiawharf.core.health.HealthPolicy;
 import org.fuchsiawharf.core.log.DecisionLog;
@@ -143,18 +144,14 @@
         }
     }
 
-    /**
-     * Ends every queued piece with the status {@link PieceResult.Status#WITHDRAWN}.
-     *
-     * @param reason the reason for the log, not null
-     */
-    public void withdrawAll(String reason) {
-        if (!queue.isEmpty()) {
-            log.write("pieces.withdrawn", "service", service, "pieces", queue.size(), "reason", reason);
+    /** Ends the queued pieces of the given listeners with the status {@link PieceResult.Status#WITHDRAWN}. */
+    void withdraw(String reason, Predicate<PieceListener> condition) {
+        List<PieceTask> withdrawn = new ArrayList<>();
+        queue.removeIf(task -> condition.test(task.listener), withdrawn::add);
+        if (!withdrawn.isEmpty()) {
+            log.write("pieces.withdrawn", "service", service, "pieces", withdrawn.size(), "reason", reason);
         }
-        queue.removeIf(
-                task -> true,
-                task -> finish(task, PieceResult.notProduced(task.order.id(), PieceResult.Status.WITHDRAWN)));
+        withdrawn.forEach(task -> finish(task, PieceResult.notProduced(task.order.id(), PieceResult.Status.WITHDRAWN)));
         slotIdleTimes.onQueueChanged(queue.isEmpty(), timers.now());
     }
 
@@ -170,7 +167,7 @@
         PieceService pieceSpec = spec;
         List<EndpointState> usable = endpoints.getUsable();
         if (pieceSpec == null || usable.isEmpty()) {
-            withdrawAll(pieceSpec == null ? "service processes no pieces" : "no endpoints listed");
+            withdraw(pieceSpec == null ? "service processes no pieces" : "no endpoints listed", listener -> true);
             return;
         }
         long now = timers.now();
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceListener.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceListener.java
@@ -24,4 +24,13 @@
     default void onResults(List<PieceResult> results) {
         results.forEach(this::onResult);
     }
+
+    /**
+     * Checks whether the pieces belong to another instance, which submits them elsewhere if this one is silent.
+     *
+     * @return false unless overridden
+     */
+    default boolean isOfOtherInstance() {
+        return false;
+    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/RemoteResultSender.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/RemoteResultSender.java
@@ -33,4 +33,9 @@
         results.forEach(result -> heartbeats.onEnded(submitter, result.id()));
         peers.send(submitter, new PeerMessage.PiecesEnded(pool, results));
     }
+
+    @Override
+    public boolean isOfOtherInstance() {
+        return true;
+    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -134,7 +134,7 @@
         leaving = true;
         owners.setSelfLeaving();
         sendHeartbeats(peers.getConnectedPeers());
-        List.copyOf(pools.values()).forEach(pool -> pool.withdrawAll("instance is leaving"));
+        List.copyOf(pools.values()).forEach(pool -> pool.withdraw("instance is leaving", listener -> true));
     }
 
     // -----------------------------------------------------------------------
@@ -431,9 +431,10 @@
         receivers.forEach(name -> peers.send(name, heartbeat));
     }
 
-    /** Withdraws queued pieces after a pause of the process, in which other instances may have resubmitted theirs. */
+    /** Withdraws the queued pieces of other instances, which may have resubmitted them while the process was paused. */
     public void onProcessPaused() {
-        List.copyOf(pools.values()).forEach(pool -> pool.withdrawAll("process was paused"));
+        List.copyOf(pools.values())
+                .forEach(pool -> pool.withdraw("process was paused", PieceListener::isOfOtherInstance));
     }
 
     private FleetStagePool pool(PoolKey key) {
