Send results again that a full connection refused

Callers whose pieces ran at another instance waited until their deadline: results that were ready did not arrive and no attempt was made elsewhere.

RemoteResultSender ignored what PeerPort.send returned, and PeerNetwork refuses a message while the channel is not writable. The result was never sent again and its handle never released, while later heartbeats kept the owner unsuspected. The results of an instance that had disconnected also held their space until they expired.

ResultOutbox keeps refused results and sends them on the next tick, or with the next result for the same instance, in order and merged by pool, at most 1,000 in a message to stay below the maximum size of a frame. They are sent before heartbeats, so that heartbeats cannot fill the connection first. A result counts as unfinished until it was accepted, so that its submitter gets heartbeats at the rate of one that waits. After its time to live it is dropped and its handle released; the submitter is sent WITHDRAWN instead, so that it resubmits the piece and does not wait for its deadline. Results for an instance that is not connected are dropped and released at once, since that instance resubmits. Each case is logged: results.deferred, results.sent_late, results.dropped.

--- a/core/src/main/java/org/fuchsiawharf/core/member/PeerPort.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/PeerPort.java
@@ -43,9 +43,12 @@
     /**
      * Sends a message.
      *
+     * <p>A message is refused if there is no connection, or if each connection already has too many bytes to send.
+     * {@link #isConnected} tells these cases apart; a full connection accepts messages again once it has sent its bytes.
+     *
      * @param peer the name of the receiving instance, not null
      * @param message the message, not null
-     * @return true if the message was passed to a connection, false if there is none
+     * @return true if the message was passed to a connection, false if it was refused and nothing of it was sent
      */
     boolean send(String peer, PeerMessage message);
 
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/RemoteResultSender.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/RemoteResultSender.java
@@ -2,25 +2,20 @@
 
 import java.util.List;
 
-import org.fuchsiawharf.core.member.PeerMessage;
-import org.fuchsiawharf.core.member.PeerPort;
-
 /**
- * Sends the results of the pieces that another instance submitted, those of one call in one message.
+ * Passes the results of the pieces that another instance submitted to the outbox, those of one call together.
  *
  * <p>Confined to the decision loop.
  */
 final class RemoteResultSender implements PieceListener {
     private final String submitter;
     private final PoolKey pool;
-    private final PeerPort peers;
-    private final PeerHeartbeats heartbeats;
+    private final ResultOutbox outbox;
 
-    RemoteResultSender(String submitter, PoolKey pool, PeerPort peers, PeerHeartbeats heartbeats) {
+    RemoteResultSender(String submitter, PoolKey pool, ResultOutbox outbox) {
         this.submitter = submitter;
         this.pool = pool;
-        this.peers = peers;
-        this.heartbeats = heartbeats;
+        this.outbox = outbox;
     }
 
     @Override
@@ -30,8 +25,7 @@
 
     @Override
     public void onResults(List<PieceResult> results) {
-        results.forEach(result -> heartbeats.onEnded(submitter, result.id()));
-        peers.send(submitter, new PeerMessage.PiecesEnded(pool, results));
+        outbox.add(submitter, pool, results);
     }
 
     @Override
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -46,6 +46,7 @@
     private final PoolSelector selector;
     private final PeerHeartbeats heartbeats = new PeerHeartbeats();
     private final OwnedPools ownedPools;
+    private final ResultOutbox resultOutbox;
     private boolean leaving;
 
     /**
@@ -68,6 +69,8 @@
         this.liveMembers = new LiveMembers(members, peers, owners, timers);
         this.backlogs = new PoolBacklogs(members, owners, pools, timers);
         this.selector = new PoolSelector(layout, owners, members.getSelf().name(), backlogs);
+        this.resultOutbox = new ResultOutbox(
+                peers, heartbeats, layout, context, (key, handles) -> pool(key).release(handles));
     }
 
     /** Starts heartbeats and the detection of silent owners; called once. */
@@ -266,7 +269,7 @@
     }
 
     private void accept(String from, PeerMessage.SubmitPieces submit) {
-        PieceListener resultSender = new RemoteResultSender(from, submit.pool(), peers, heartbeats);
+        PieceListener resultSender = new RemoteResultSender(from, submit.pool(), resultOutbox);
         if (leaving) {
             log.write(
                     "pieces.rejected",
@@ -412,6 +415,8 @@
         if (liveMembers.removeSilent()) {
             onMembersChanged();
         }
+        // Before heartbeats, which must not take the room of results on a full connection.
+        resultOutbox.sendUnsent();
         sendHeartbeats(heartbeats.selectDue(
                 peers.getConnectedPeers(), layout.getPools().stream().anyMatch(owners::isOwnerOf)));
         // Messages that arrived while this loop was late are processed after this tick.
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFullConnection.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFullConnection.java
@@ -167,6 +167,22 @@
                 contains(0, 1, 2, 3));
     }
 
+    @Test
+    void manyRefusedResultsDoNotExceedOneFrame() {
+        int pieces = ResultOutbox.MAX_RESULTS * 3 / 2;
+        pools.leave();
+        peers.refuse(zoneOwner, PeerMessage.class);
+        receive(0, pieces - 1);
+        peers.accept(zoneOwner);
+        fixture.advance(TICK_MILLIS);
+        assertThat(peers.messagesTo(zoneOwner, PeerMessage.PiecesEnded.class), hasSize(2));
+        assertThat(
+                peers.resultsTo(zoneOwner).stream()
+                        .map(result -> result.id().piece())
+                        .toList(),
+                is(IntStream.range(0, pieces).boxed().toList()));
+    }
+
     @Test
     void laterResultDoesNotOvertakeRefusedOne() {
         receive(0, 3);
