Do not suspect the owner behind a full connection

While a connection to an owner took no more bytes, one refused submit made the instance suspect the owner for 1.5 s and resubmit every piece that ran there. The pieces were produced twice, and callers waited for the second run.

StagePools.sendTo took each refusal of PeerPort.send for a lost connection. A refusal while the peer is connected says nothing about the owner. Only the refused pieces are sent to the next destination now; the others stay. They go at once and do not wait for the connection: nothing of them was sent, so that they run once, and it is not known when the connection takes messages again.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -354,6 +354,10 @@
         } else if (peers.send(owner, new PeerMessage.SubmitPieces(destination.pool(), orders))) {
             backlogs.onSubmitted(destination.pool(), orders);
             pieces.forEach(outstanding::add);
+        } else if (peers.isConnected(owner)) {
+            String reason = "connection to " + owner + " is full";
+            log.write("pieces.resubmitted", "service", service, "pieces", pieces.size(), "reason", reason);
+            send(service, pieces);
         } else {
             suspect(owner, "not connected");
             send(service, pieces);
