Hold pieces that all full connections refuse until the next tick

A request failed at once if every destination of its pieces was behind a full connection, although these connections accept messages again within milliseconds. This takes an instance without a pool of its own: one that is leaving, or whose availability zone has no pool of a divided service.

StagePools.send ends a piece as failed if it has no untried destination, and a destination counted as tried though it had refused the piece.

RefusedPieces holds such a piece among the outstanding ones until the next tick and allows its refused destinations again. It is cancelled with its request, and resubmitted if its owner is suspected, like any other.

Evidence: TestFullConnection.pieceDoesNotFailWhileAllConnectionsAreFull failed before and passes now. heldPieceIsNotLostWhenOwnersDisconnect is new with this change.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/SentPiece.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/SentPiece.java
@@ -14,12 +14,17 @@
     final PieceListener listener;
     /** The pools and their owners to which the piece was sent. */
     final Set<Destination> triedDestinations = new HashSet<>();
+    /** The destinations to which the connection was full since the piece was last held. */
+    final Set<Destination> refusedDestinations = new HashSet<>();
 
     /** The pool to which the piece was sent last, and the instance that runs it. */
     Destination destination;
 
     long sentNanos;
 
+    /** Whether the piece waits for the next tick, since all its destinations refused it or were tried. */
+    boolean held;
+
     /**
      * A pool on an instance.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -47,6 +47,7 @@
     private final PeerHeartbeats heartbeats = new PeerHeartbeats();
     private final OwnedPools ownedPools;
     private final ResultOutbox resultOutbox;
+    private final RefusedPieces refusedPieces;
     private boolean leaving;
 
     /**
@@ -69,6 +70,7 @@
         this.liveMembers = new LiveMembers(members, peers, owners, timers);
         this.backlogs = new PoolBacklogs(members, owners, pools, timers);
         this.selector = new PoolSelector(layout, owners, members.getSelf().name(), backlogs);
+        this.refusedPieces = new RefusedPieces(outstanding, selector);
         this.resultOutbox = new ResultOutbox(
                 peers, heartbeats, layout, context, (key, handles) -> pool(key).release(handles));
     }
@@ -344,6 +346,7 @@
             piece.triedDestinations.add(destination);
             piece.destination = destination;
             piece.sentNanos = timers.now();
+            piece.held = false;
         });
         String owner = destination.owner();
         if (owner.equals(members.getSelf().name())) {
@@ -357,7 +360,7 @@
         } else if (peers.isConnected(owner)) {
             String reason = "connection to " + owner + " is full";
             log.write("pieces.resubmitted", "service", service, "pieces", pieces.size(), "reason", reason);
-            send(service, pieces);
+            send(service, refusedPieces.selectSendable(pieces));
         } else {
             suspect(owner, "not connected");
             send(service, pieces);
@@ -419,8 +422,9 @@
         if (liveMembers.removeSilent()) {
             onMembersChanged();
         }
-        // Before heartbeats, which must not take the room of results on a full connection.
+        // Before heartbeats, which must not take the room of results and pieces on a full connection.
         resultOutbox.sendUnsent();
+        refusedPieces.removeHeld().forEach(this::send);
         sendHeartbeats(heartbeats.selectDue(
                 peers.getConnectedPeers(), layout.getPools().stream().anyMatch(owners::isOwnerOf)));
         // Messages that arrived while this loop was late are processed after this tick.
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestFullConnection.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestFullConnection.java
@@ -273,9 +273,28 @@
         sendHeartbeat(owner);
         assertThat(results, is(empty()));
         peers.accept(owner);
-        fixture.advance(TICK_MILLIS);
+        peers.accept(zoneOwner);
+        fixture.advance(3 * TICK_MILLIS);
         assertThat(peers.piecesSubmittedTo(owner), contains(0, 1));
+        assertThat(peers.piecesSubmittedTo(zoneOwner), is(empty()));
+        assertThat(results, is(empty()));
+    }
+
+    @Test
+    void heldPieceIsNotLostWhenOwnersDisconnect() {
+        pools.leave();
+        peers.refuse(owner, PeerMessage.class);
+        peers.refuse(zoneOwner, PeerMessage.class);
+        submit(0, 1);
+        peers.connected.remove(zoneOwner.name());
+        pools.onDisconnected(zoneOwner.name(), "test");
+        fixture.advance(TICK_MILLIS);
+        assertThat(fixture.calls.sent, is(empty()));
+        peers.connected.remove(owner.name());
+        pools.onDisconnected(owner.name(), "test");
         assertThat(results, is(empty()));
+        assertThat(fixture.calls.sent, hasSize(1));
+        assertThat(fixture.calls.last().getOrders(), hasSize(2));
     }
 
     @Test
