--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PoolSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PoolSelector.java
@@ -4,8 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.fuchsiawharf.core.member.Member;
@@ -65,6 +68,27 @@
         return ordered;
     }
 
+    /** Groups pieces by their next destinations; those that were sent to all are passed to an action. */
+    Map<SentPiece.Destination, List<SentPiece>> assign(List<SentPiece> pieces, Consumer<SentPiece> onNoneLeft) {
+        Map<SentPiece.Destination, List<SentPiece>> byDestination = new LinkedHashMap<>();
+        SentPiece previous = null;
+        SentPiece.Destination destination = null;
+        for (SentPiece piece : pieces) {
+            if (previous == null || !piece.isSentLike(previous)) {
+                destination = findUntried(piece);
+            }
+            previous = piece;
+            if (destination == null) {
+                onNoneLeft.accept(piece);
+            } else {
+                byDestination
+                        .computeIfAbsent(destination, d -> new ArrayList<>())
+                        .add(piece);
+            }
+        }
+        return byDestination;
+    }
+
     /**
      * Finds a pool and an owner to which a piece was not sent before: the preferred one, else another, else this
      * instance if no pool has an owner that can be reached.
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -1,9 +1,7 @@
 package org.fuchsiawharf.core.pieces;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -23,7 +21,7 @@
  * Routes pieces to a pool of their service, on the instance that owns the pool: this one or another.
  *
  * <p>Each pool has one owner among the live instances, chosen by capacity and hashing alone; ownership is a hint and
- * never exclusive. If the owner is silent, withdraws pieces or is not connected, they are sent to another pool of the
+ * never exclusive. If the owner is silent, withdraws pieces, is not connected or its connection is full, they are sent to another pool of the
  * service or, if there is none, to the owner within the own availability zone, since a partition between zones is the
  * likely cause, and then to the pool of this instance. A piece can therefore be produced twice; the first result is
  * used.
@@ -321,23 +319,11 @@
     // -----------------------------------------------------------------------
 
     private void send(String service, List<SentPiece> pieces) {
-        Map<SentPiece.Destination, List<SentPiece>> byDestination = new LinkedHashMap<>();
-        SentPiece previous = null;
-        SentPiece.Destination destination = null;
-        for (SentPiece piece : pieces) {
-            if (previous == null || !piece.isSentLike(previous)) {
-                destination = selector.findUntried(piece);
-            }
-            previous = piece;
-            if (destination == null) {
-                piece.listener.onResult(PieceResult.notProduced(piece.order.id(), PieceResult.Status.FAILED));
-            } else {
-                byDestination
-                        .computeIfAbsent(destination, d -> new ArrayList<>())
-                        .add(piece);
-            }
-        }
-        byDestination.forEach((target, list) -> sendTo(service, target, list));
+        selector.assign(
+                        pieces,
+                        piece -> piece.listener.onResult(
+                                PieceResult.notProduced(piece.order.id(), PieceResult.Status.FAILED)))
+                .forEach((destination, assigned) -> sendTo(service, destination, assigned));
     }
 
     private void sendTo(String service, SentPiece.Destination destination, List<SentPiece> pieces) {
