Count the messages with all instances in the capacity that an owner needs

The first figures of processor time by second show that an owner's role costs mostly messages: with 76 other instances the owner of the portal takes 410 to 810 ms a second for a quarter of billing's pieces, an instance that owns nothing 120 to 260. By pieces alone the portal counted as borne by a small instance of 360 ms, which the hash then could draw.

An owner needs 0.003 of a core for each member now and one core for each 4,500 pieces a second.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PoolLayout.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PoolLayout.java
@@ -26,8 +26,10 @@
  * <p>Confined to the decision loop.
  */
 public final class PoolLayout {
-    /** Pieces per second that an owner bears for each unit of its capacity, beside the requests of its own callers. */
-    private static final double PIECES_PER_SECOND_PER_CAPACITY = 2_000;
+    /** Pieces per second that an owner processes for each unit of its capacity. */
+    private static final double PIECES_PER_SECOND_PER_CAPACITY = 4_500;
+    /** Capacity that an owner needs for the messages to and from each other instance. */
+    private static final double CAPACITY_PER_MEMBER = 0.003;
     /** Minimum mean number of endpoints in a zone, so that the calls to a pool overlap. */
     private static final int MIN_ENDPOINTS_PER_ZONE = 2;
 
@@ -100,7 +102,7 @@
     }
 
     /**
-     * Gets the capacity of an instance that bears all pieces that the endpoints of a pool can process.
+     * Gets the capacity of an instance that bears a pool: all pieces that its endpoints can process, from all instances.
      *
      * @param pool the pool, not null
      * @return the capacity, 0 if the service processes no pieces
@@ -113,7 +115,8 @@
         long endpoints = table.getPool(pool.service()).getEndpoints().stream()
                 .filter(state -> pool.covers(state.getEndpoint()))
                 .count();
-        return endpoints * spec.maxPiecesPerMilli() * MILLIS_PER_SECOND / PIECES_PER_SECOND_PER_CAPACITY;
+        double piecesPerSecond = endpoints * spec.maxPiecesPerMilli() * MILLIS_PER_SECOND;
+        return piecesPerSecond / PIECES_PER_SECOND_PER_CAPACITY + members.size() * CAPACITY_PER_MEMBER;
     }
 
     private List<PoolKey> divide(String service) {
