Cache the capacity that a pool needs, and keep a service together whose endpoints share one zone

The ranking of owners counted the endpoints of the pool for every piece. A service with endpoints in one availability zone only would have been divided into one pool that confines the owner to that zone; tested. Found on reading the change.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
@@ -53,16 +53,17 @@
     }
 
     /**
-     * Gets the candidates in order of preference: the owner, and, unless the pool is confined to another availability
-     * zone, the owner within this instance's zone and this instance. Empty if no instance of the pool's zone can be
-     * reached, since its endpoints probably cannot be reached either.
+     * Gets the candidates in order of preference: the owner and, unless the pool belongs to another availability zone,
+     * the owner within this instance's zone and this instance. Empty if the zone of the pool has instances but none can
+     * be reached, since its endpoints probably cannot be reached either.
      */
     List<Member> getCandidates(PoolKey pool) {
         List<Member> ranked = rank(pool);
         Set<Member> candidates = new LinkedHashSet<>();
-        boolean hasHome = ranked.stream().anyMatch(m -> m.zone().equals(pool.zone()) && !isMemberLeaving(m));
+        boolean confined = !pool.coversAllZones()
+                && ranked.stream().anyMatch(m -> m.zone().equals(pool.zone()) && !isMemberLeaving(m));
         ranked.stream()
-                .filter(m -> !hasHome || m.zone().equals(pool.zone()))
+                .filter(m -> !confined || m.zone().equals(pool.zone()))
                 .filter(this::isEligible)
                 .findFirst()
                 .ifPresent(candidates::add);
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PoolLayout.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PoolLayout.java
@@ -39,6 +39,7 @@
     private final MemberTable members;
     private final Map<String, PieceService> specs = new HashMap<>();
     private final Map<String, List<PoolKey>> poolsByService = new HashMap<>();
+    private final Map<PoolKey, Double> neededCapacityByPool = new HashMap<>();
 
     /**
      * Creates a layout without services.
@@ -59,12 +60,13 @@
                 specs.put(spec.name(), spec.pieces());
             }
         });
-        poolsByService.clear();
+        invalidate();
     }
 
     /** Computes the pools again when they are next needed; called when the listed endpoints or members have changed. */
     void invalidate() {
         poolsByService.clear();
+        neededCapacityByPool.clear();
     }
 
     /** Gets the pools of all stage services. */
@@ -108,6 +110,10 @@
      * @return the capacity, 0 if the service processes no pieces
      */
     double getNeededCapacity(PoolKey pool) {
+        return neededCapacityByPool.computeIfAbsent(pool, this::computeNeededCapacity);
+    }
+
+    private double computeNeededCapacity(PoolKey pool) {
         PieceService spec = specs.get(pool.service());
         if (spec == null) {
             return 0;
@@ -124,7 +130,8 @@
         List<EndpointState> endpoints = table.getPool(service).getEndpoints();
         TreeSet<String> zones = new TreeSet<>();
         endpoints.forEach(state -> zones.add(state.getEndpoint().zone()));
-        boolean divisible = endpoints.size() >= MIN_ENDPOINTS_PER_ZONE * zones.size() && !zones.contains("");
+        boolean divisible =
+                zones.size() > 1 && !zones.contains("") && endpoints.size() >= MIN_ENDPOINTS_PER_ZONE * zones.size();
         return divisible && members.countByCapacity(getNeededCapacity(undivided)) < specs.size()
                 ? zones.stream().map(zone -> new PoolKey(service, zone)).toList()
                 : List.of(undivided);
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/TestPoolLayout.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/TestPoolLayout.java
@@ -76,6 +76,11 @@
         assertThat(layout(0.1, 5, "a", "b", "c").getPools(SERVICE), contains(PoolKey.ofAllZones(SERVICE)));
     }
 
+    @Test
+    void keepsServiceTogetherThatHasEndpointsInOneZoneOnly() {
+        assertThat(layout(0.1, 11, "a").getPools(SERVICE), contains(PoolKey.ofAllZones(SERVICE)));
+    }
+
     @Test
     void findsNoPoolForServiceWithoutPieces() {
         PoolLayout layout = layout(0.36, 11, "a", "b", "c");
