--- a/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
@@ -16,7 +16,8 @@
 /**
  * Selects the owner of a pool among the reachable instances.
  *
- * <p>The pool of one availability zone is owned by an instance of that zone, unless the zone has no member. A suspected instance is excluded for a fixed time, a leaving instance until its heartbeats report otherwise.
+ * <p>The pool of one availability zone is owned by an instance of that zone, unless all its instances leave. A suspected
+ * instance is excluded for a fixed time, a leaving instance until its heartbeats report otherwise.
  *
  * <p>Confined to the decision loop.
  */
