--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceQueue.java
@@ -15,7 +15,7 @@
 import java.util.function.Predicate;
 
 /**
- * Queues the pieces of one service and selects those of the next batch.
+ * Queues the pieces of one pool and selects those of the next batch.
  *
  * <p>A call costs far more than each of its pieces, so that many small requests on few endpoints have to share calls.
  * Pieces are ordered by due time. Each rank adds a fixed delay, so that less urgent pieces wait longer but are not
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/SlotIdleTimes.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/SlotIdleTimes.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /**
- * Measures for how long the slots of the endpoints of one service are idle while pieces are queued.
+ * Measures for how long the slots of the endpoints of one pool are idle while pieces are queued.
  *
  * <p>Each slot in use has no entry; a slot that has ended a call has one. Confined to the decision loop.
  */
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StageCallLog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StageCallLog.java
@@ -8,7 +8,7 @@
  * <p>Confined to the decision loop.
  *
  * @param log the log
- * @param service the name of the stage service
+ * @param service the name of the stage service of the pool
  */
 record StageCallLog(DecisionLog log, String service) {
     private static final long NANOS_PER_MILLI = 1_000_000L;
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePool.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * Processes the pieces of one stage service.
+ * Processes the pieces of one pool.
  *
  * <p>Confined to the decision loop.
  */
