Bound the bytes that a call skips before the head of its response

An endpoint that sent informational heads, or a response to an earlier request, without end kept its connection open until the call's deadline, and took bandwidth from other calls of the instance.

ClientConnection skipped these responses without counting them. The decoder bounds single lines and heads only.

A call fails as garbage after 72 kB (the largest head) that contain neither the head of its response nor body data, and after 1 MB of skipped bodies. The count covers all framing, so it also holds for bytes that the decoder drops.

Evidence: of TestEndlessResponses, "informational heads" and "late duplicate" failed before: the endpoint sent 64 MB, after which it gives up. They pass now. The other cases passed before: status line, blanks and empty lines before it, header line, header lines, chunk extension, bytes after a chunk, trailers, bodies without a length and beyond it, and event streams.

--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -23,7 +23,8 @@
  * <p>A successful response must carry the id of the current call; a response with another id is a late duplicate
  * response to an earlier request and is skipped. The connection is not reused after such a response, after bytes that
  * belong to no call, after a failed or cancelled call, after a response that closes the connection, or after a response
- * that arrived before the request was completely written. Confined to the I/O thread.
+ * that arrived before the request was completely written. A call fails as garbage if too many bytes arrive that are
+ * neither the head nor the body of its response. Confined to the I/O thread.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Idle timeout if the server announces none in a Keep-Alive field; shorter than the usual timeouts of servers. */
@@ -31,6 +32,11 @@
     /** Subtracted from the idle timeout that the server announces, to allow for network latency. */
     private static final long IDLE_TIMEOUT_MARGIN_NANOS = 500_000_000L;
 
+    /** Maximum number of bytes received without a response head or body data: the largest head. */
+    private static final int MAX_FRAMING_BYTES = ResponseDecoder.MAX_LINE_BYTES + ResponseDecoder.MAX_HEADER_BYTES;
+    /** Maximum size of the bodies of responses to earlier requests that one call skips. */
+    private static final int MAX_SKIPPED_BYTES = 1 << 20;
+
     private final HttpClient client;
     private final ResponseDecoder decoder;
     private final Channel channel;
@@ -40,6 +46,10 @@
     private boolean reuseForbidden;
     private boolean readFailed;
     private boolean responseComplete;
+    /** Number of bytes received on the connection when a response head or body data was last decoded. */
+    private long receivedBytesAtProgress;
+
+    private int skippedBytes;
     private long idleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
     private long idleSinceNanos;
     private int maxIdleConnections;
@@ -56,6 +66,8 @@
     void send(OpenCall next) {
         currentCall = next;
         responseComplete = false;
+        receivedBytesAtProgress = decoder.getReceivedBytes();
+        skippedBytes = 0;
         next.attach(this);
         decoder.setRequestMethod(next.getMethod());
         HttpCall httpCall = next.httpCall;
@@ -151,6 +163,7 @@
         if (writeFuture == null || !writeFuture.isDone()) {
             reuseForbidden = true;
         }
+        receivedBytesAtProgress = decoder.getReceivedBytes();
         openCall.getListener().onHead(response.status().code(), response.headers());
     }
 
@@ -181,8 +194,15 @@
             return;
         }
         boolean last = content instanceof LastHttpContent;
+        if (content.content().isReadable()) {
+            receivedBytesAtProgress = decoder.getReceivedBytes();
+        }
         if (skippingResponse) {
             skippingResponse = !last;
+            skippedBytes += content.content().readableBytes();
+            if (skippedBytes > MAX_SKIPPED_BYTES) {
+                fail(CallFailure.GARBAGE, "the responses to earlier requests exceed " + MAX_SKIPPED_BYTES + " bytes");
+            }
             return;
         }
         if (content.content().isReadable()) {
@@ -200,6 +220,20 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event == ResponseDecoder.READ_DECODED && !responseComplete) {
+            checkReceivedBytes();
+        }
+        context.fireUserEventTriggered(event);
+    }
+
+    private void checkReceivedBytes() {
+        if (decoder.getReceivedBytes() - receivedBytesAtProgress > MAX_FRAMING_BYTES) {
+            fail(CallFailure.GARBAGE, "more than " + MAX_FRAMING_BYTES + " bytes without a response head or body data");
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (responseComplete && currentCall != null) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ResponseDecoder.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ResponseDecoder.java
@@ -1,5 +1,7 @@
 package org.fuchsiawharf.relay.client;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -9,13 +11,17 @@
 /**
  * Decodes responses and detects received bytes that belong to no complete response.
  *
- * <p>Confined to the I/O thread.
+ * <p>Fires {@link #READ_DECODED} after the messages of each read, also if the read completed no message. Confined to the I/O thread.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
-    private static final int MAX_LINE_BYTES = 8_192;
-    private static final int MAX_HEADER_BYTES = 65_536;
+    /** The user event that follows the messages of one read. */
+    static final Object READ_DECODED = new Object();
+
+    static final int MAX_LINE_BYTES = 8_192;
+    static final int MAX_HEADER_BYTES = 65_536;
 
     private @Nullable HttpMethod requestMethod;
+    private long receivedBytes;
 
     ResponseDecoder() {
         super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES).setMaxHeaderSize(MAX_HEADER_BYTES));
@@ -31,6 +37,20 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Gets the number of bytes received on the connection. */
+    long getReceivedBytes() {
+        return receivedBytes;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (message instanceof ByteBuf bytes) {
+            receivedBytes += bytes.readableBytes();
+        }
+        super.channelRead(context, message);
+        context.fireUserEventTriggered(READ_DECODED);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return HttpMethod.HEAD.equals(requestMethod) || super.isContentAlwaysEmpty(message);
