Bound the size of a response including its framing

An endpoint that sent chunks of one byte with an extension of 4 kB each kept its connection open until the call's deadline.

RelayedCall bounds the decoded body, which such a response enlarges by one byte for each 4 kB received.

HttpCall names the maximum number of bytes of its response, as received on the connection, and the call fails as garbage beyond it. Buffered responses of callers' requests keep their 16 MB, now with framing. Event streams stay unlimited: their events are forwarded under backpressure and end with the deadline or the caller's close.

--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -24,7 +24,7 @@
  * response to an earlier request and is skipped. The connection is not reused after such a response, after bytes that
  * belong to no call, after a failed or cancelled call, after a response that closes the connection, or after a response
  * that arrived before the request was completely written. A call fails as garbage if too many bytes arrive that are
- * neither the head nor the body of its response. Confined to the I/O thread.
+ * neither the head nor the body of its response, or if the response exceeds the maximum size of the call. Confined to the I/O thread.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Idle timeout if the server announces none in a Keep-Alive field; shorter than the usual timeouts of servers. */
@@ -49,6 +49,8 @@
     /** Number of bytes received on the connection when a response head or body data was last decoded. */
     private long receivedBytesAtProgress;
 
+    private long receivedBytesAtSend;
+
     private int skippedBytes;
     private long idleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
     private long idleSinceNanos;
@@ -67,6 +69,7 @@
         currentCall = next;
         responseComplete = false;
         receivedBytesAtProgress = decoder.getReceivedBytes();
+        receivedBytesAtSend = receivedBytesAtProgress;
         skippedBytes = 0;
         next.attach(this);
         decoder.setRequestMethod(next.getMethod());
@@ -229,6 +232,11 @@
     }
 
     private void checkReceivedBytes() {
+        OpenCall openCall = currentCall;
+        long maxBytes = openCall == null ? HttpCall.UNLIMITED_BYTES : openCall.httpCall.maxResponseBytes();
+        if (decoder.getReceivedBytes() - receivedBytesAtSend > maxBytes) {
+            fail(CallFailure.GARBAGE, "the response exceeds " + maxBytes + " bytes");
+        }
         if (decoder.getReceivedBytes() - receivedBytesAtProgress > MAX_FRAMING_BYTES) {
             fail(CallFailure.GARBAGE, "more than " + MAX_FRAMING_BYTES + " bytes without a response head or body data");
         }
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/HttpCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/HttpCall.java
@@ -17,6 +17,8 @@
  * @param expectedId the request id that the response must carry, null if responses carry no id
  * @param maxIdleNanos the longest idle time of a pooled connection, in nanoseconds; 0 to open a new connection
  * @param maxIdleConnections the number of idle connections to the server that may be kept after the call
+ * @param maxResponseBytes the maximum size of the response with its head and framing, in bytes;
+ *     {@link #UNLIMITED_BYTES} if the receiver of the body bounds it
  */
 public record HttpCall(
         InetSocketAddress address,
@@ -24,4 +26,8 @@
         ByteBuf body,
         @Nullable String expectedId,
         long maxIdleNanos,
-        int maxIdleConnections) {}
+        int maxIdleConnections,
+        long maxResponseBytes) {
+    /** The maximum size of a response whose receiver bounds the memory, such as by backpressure. */
+    public static final long UNLIMITED_BYTES = Long.MAX_VALUE;
+}
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -24,7 +24,7 @@
  */
 final class RelayedCall implements EndpointCalls.Call, ResponseListener {
     /** Maximum size of a buffered response. */
-    private static final int MAX_RESPONSE_BYTES = 16 << 20;
+    static final int MAX_RESPONSE_BYTES = 16 << 20;
 
     private static final int OK = 200;
     private static final int CONFLICT = 409;
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
@@ -137,7 +137,8 @@
                 body,
                 id,
                 terms.repeatable() ? MAX_IDLE_NANOS : 0,
-                terms.maxIdleConnections());
+                terms.maxIdleConnections(),
+                terms.stream() ? HttpCall.UNLIMITED_BYTES : RelayedCall.MAX_RESPONSE_BYTES);
     }
 
     private void copyEndToEndFields(HttpHeaders source, HttpHeaders target) {
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
@@ -83,6 +83,12 @@
                         SMALL_RESPONSE_BYTES),
                 Arguments.of("chunk extension", "H", chunked + "1;", "x", SMALL_RESPONSE_BYTES),
                 Arguments.of("bytes after a chunk", "H", chunked + "1\r\nx", "x", SMALL_RESPONSE_BYTES),
+                Arguments.of(
+                        "chunk extensions",
+                        "H",
+                        chunked,
+                        "1;" + "x".repeat(4_000) + "\r\nx\r\n",
+                        BUFFERED_RESPONSE_BYTES),
                 Arguments.of("trailers", "H", chunked + "0\r\n", "X: y\r\n", SMALL_RESPONSE_BYTES),
                 Arguments.of("body without a length", "H", "Connection: close\r\n\r\n", "x", BUFFERED_RESPONSE_BYTES),
                 Arguments.of("body beyond its length", "H", "Content-Length: 2\r\n\r\nok", "x", SMALL_RESPONSE_BYTES));
