Copy the parts of a buffered response instead of composing them

A response of 2 MB in chunks of one byte was answered with 504: the I/O thread was busy for longer than the deadline of the request, and with it every other connection of the instance.

RelayedCall added each part to a composite buffer, which copies all of its bytes again after every 16 parts. Each part also held its whole receive buffer.

The parts are copied into one growing buffer, in time that is linear in the size of the response.

--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -1,7 +1,6 @@
 package org.fuchsiawharf.relay.edge;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -42,7 +41,7 @@
     private boolean notExecuted;
     private @Nullable HttpHeaders responseHead;
     private @Nullable EventParser eventParser;
-    private @Nullable CompositeByteBuf bufferedBody;
+    private @Nullable ByteBuf bufferedBody;
     private boolean startReported;
     private long forwardedEvents;
 
@@ -103,7 +102,7 @@
         } else if (terms.stream() && code == OK) {
             eventParser = new EventParser();
         } else {
-            bufferedBody = Unpooled.compositeBuffer();
+            bufferedBody = Unpooled.buffer();
         }
     }
 
@@ -113,13 +112,14 @@
             return;
         }
         EventParser parser = eventParser;
-        CompositeByteBuf buffer = bufferedBody;
+        ByteBuf buffer = bufferedBody;
         if (parser != null) {
             if (!parser.feed(data, this::onEvent) && !ended) {
                 fail(CallFailure.GARBAGE, "malformed event stream");
             }
         } else if (buffer != null) {
-            buffer.addComponent(true, data.retain());
+            // A retained slice of a small chunk would hold the whole receive buffer.
+            buffer.writeBytes(data);
             if (buffer.readableBytes() > MAX_RESPONSE_BYTES) {
                 fail(CallFailure.GARBAGE, "the response exceeds " + MAX_RESPONSE_BYTES + " bytes");
             }
@@ -152,7 +152,7 @@
         }
         HttpHeaders head = responseHead;
         EventParser parser = eventParser;
-        CompositeByteBuf buffer = bufferedBody;
+        ByteBuf buffer = bufferedBody;
         if (parser != null && parser.hasPartialEvent()) {
             fail(CallFailure.LOST, "the stream ended within an event");
         } else if (parser != null && head != null) {
@@ -207,7 +207,7 @@
         if (parser != null) {
             parser.release();
         }
-        CompositeByteBuf buffer = bufferedBody;
+        ByteBuf buffer = bufferedBody;
         bufferedBody = null;
         if (buffer != null && buffer.refCnt() > 0) {
             buffer.release();
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
+import static org.fuchsiawharf.relay.ScriptedEndpoint.chunk;
 import static org.fuchsiawharf.relay.ScriptedEndpoint.head;
 import static org.fuchsiawharf.relay.ScriptedEndpoint.response;
 import static org.fuchsiawharf.relay.ScriptedEndpoint.write;
@@ -125,6 +126,17 @@
                 is("fine"));
     }
 
+    @Test
+    void responseInManySmallChunksIsForwardedBeforeItsDeadline() throws Exception {
+        int size = 2 << 20;
+        endpoint.then((r, s) -> write(
+                s,
+                head(r, 200) + "Transfer-Encoding: chunked\r\n\r\n" + chunk("x").repeat(size) + "0\r\n\r\n"));
+        RawMessage response = relay.exchange(RelayFixture.request("POST", "/post/", "r1", "", ""));
+        assertThat(response.status(), is(200));
+        assertThat(response.body().length(), is(size));
+    }
+
     /** Events are forwarded as they are: backpressure bounds the memory, and the caller's close ends the stream. */
     @Test
     void endlessEventStreamIsClosedWhenItsCallerLeaves() throws Exception {
