Bound the incomplete responses of all calls together

Endpoints that answered several requests with bodies without end could exhaust the heap of 128 MB of an instance: by calculation, with eight calls of 16 MB each.

RelayedCall bounds each response, but nothing bounds their sum.

RelayedCalls counts the buffered bytes of incomplete responses. Beyond 32 MB together, the next call to receive data with more than 1 MB fails as garbage, so that short responses succeed beside the long ones. Complete responses that wait for their callers are not counted.

Evidence: TestEndlessResponses.incompleteResponsesOfAllCallsAreBoundedTogether failed before: four responses of 12 MB were all held until their deadlines. It passes now.

--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -25,6 +25,11 @@
     /** Maximum size of a buffered response. */
     static final int MAX_RESPONSE_BYTES = 16 << 20;
 
+    /** Maximum size of the incomplete responses of all calls, a quarter of the heap of an instance. */
+    private static final long MAX_BUFFERED_BYTES = 32L << 20;
+    /** Size up to which a response does not fail because of the incomplete responses of other calls. */
+    private static final int GUARANTEED_RESPONSE_BYTES = 1 << 20;
+
     private static final int OK = 200;
     private static final int CONFLICT = 409;
     private static final int MISDIRECTED = 421;
@@ -42,6 +47,7 @@
     private @Nullable HttpHeaders responseHead;
     private @Nullable EventParser eventParser;
     private @Nullable ByteBuf bufferedBody;
+    private int bufferedBytes;
     private boolean startReported;
     private long forwardedEvents;
 
@@ -119,9 +125,14 @@
             }
         } else if (buffer != null) {
             // A retained slice of a small chunk would hold the whole receive buffer.
+            int size = data.readableBytes();
             buffer.writeBytes(data);
+            bufferedBytes += size;
+            calls.addBufferedBytes(size);
             if (buffer.readableBytes() > MAX_RESPONSE_BYTES) {
                 fail(CallFailure.GARBAGE, "the response exceeds " + MAX_RESPONSE_BYTES + " bytes");
+            } else if (calls.getBufferedBytes() > MAX_BUFFERED_BYTES && bufferedBytes > GUARANTEED_RESPONSE_BYTES) {
+                fail(CallFailure.GARBAGE, "the incomplete responses exceed " + MAX_BUFFERED_BYTES + " bytes");
             }
         }
     }
@@ -150,6 +161,7 @@
         if (ended) {
             return;
         }
+        uncountBufferedBytes();
         HttpHeaders head = responseHead;
         EventParser parser = eventParser;
         ByteBuf buffer = bufferedBody;
@@ -202,7 +214,13 @@
         }
     }
 
+    private void uncountBufferedBytes() {
+        calls.addBufferedBytes(-bufferedBytes);
+        bufferedBytes = 0;
+    }
+
     private void releaseBuffers() {
+        uncountBufferedBytes();
         EventParser parser = eventParser;
         if (parser != null) {
             parser.release();
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
@@ -57,6 +57,7 @@
     private final DecisionLog log;
     private final RequestLimitReader limitReader;
     private @Nullable RelayInstance instance;
+    private long bufferedBytes;
 
     /**
      * Creates the component that sends callers' requests to endpoints.
@@ -170,6 +171,16 @@
                 || name.equals("content-type");
     }
 
+    /** Changes the number of buffered bytes of incomplete responses; called on the I/O thread. */
+    void addBufferedBytes(int change) {
+        bufferedBytes += change;
+    }
+
+    /** Gets the number of buffered bytes of the incomplete responses of all calls; called on the I/O thread. */
+    long getBufferedBytes() {
+        return bufferedBytes;
+    }
+
     void executeOnIoThread(Runnable task) {
         ioThread.getLoop().execute(task);
     }
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -19,6 +22,7 @@
 import static org.fuchsiawharf.relay.ScriptedEndpoint.response;
 import static org.fuchsiawharf.relay.ScriptedEndpoint.write;
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -137,6 +141,28 @@
         assertThat(response.body().length(), is(size));
     }
 
+    @Test
+    void incompleteResponsesOfAllCallsAreBoundedTogether() throws Exception {
+        String part = "x".repeat(12 << 20);
+        endpoint.then((r, s) -> write(s, head(r, 200) + "Connection: close\r\n\r\n" + part));
+        List<CompletableFuture<Integer>> statuses = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            String request = RelayFixture.request("POST", "/post/", "r" + i, "", "");
+            statuses.add(CompletableFuture.supplyAsync(() -> {
+                try {
+                    return relay.exchange(request).status();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }));
+        }
+        List<Integer> received = new ArrayList<>();
+        for (CompletableFuture<Integer> status : statuses) {
+            received.add(status.get(20, TimeUnit.SECONDS));
+        }
+        assertThat(received, hasItem(502));
+    }
+
     /** Events are forwarded as they are: backpressure bounds the memory, and the caller's close ends the stream. */
     @Test
     void endlessEventStreamIsClosedWhenItsCallerLeaves() throws Exception {
