--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -21,10 +21,10 @@
  * Routes pieces to a pool of their service, on the instance that owns the pool: this one or another.
  *
  * <p>Each pool has one owner among the live instances, chosen by capacity and hashing alone; ownership is a hint and
- * never exclusive. If the owner is silent, withdraws pieces, is not connected or its connection is full, they are sent to another pool of the
- * service or, if there is none, to the owner within the own availability zone, since a partition between zones is the
- * likely cause, and then to the pool of this instance. A piece can therefore be produced twice; the first result is
- * used.
+ * never exclusive. If the owner is silent, withdraws pieces, is not connected or its connection is full, they are sent
+ * to another pool of the service or, if there is none, to the owner within the own availability zone, since a
+ * partition between zones is the likely cause, and then to the pool of this instance. A piece can therefore be produced
+ * twice; the first result is used.
  *
  * <p>Confined to the decision loop.
  */
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -24,7 +24,8 @@
  * response to an earlier request and is skipped. The connection is not reused after such a response, after bytes that
  * belong to no call, after a failed or cancelled call, after a response that closes the connection, or after a response
  * that arrived before the request was completely written. A call fails as garbage if too many bytes arrive that are
- * neither the head nor the body of its response, or if the response exceeds the maximum size of the call. Confined to the I/O thread.
+ * neither the head nor the body of its response, or if the response exceeds the maximum size of the call. Confined to
+ * the I/O thread.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Idle timeout if the server announces none in a Keep-Alive field; shorter than the usual timeouts of servers. */
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ResponseDecoder.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ResponseDecoder.java
@@ -11,7 +11,8 @@
 /**
  * Decodes responses and detects received bytes that belong to no complete response.
  *
- * <p>Fires {@link #READ_DECODED} after the messages of each read, also if the read completed no message. Confined to the I/O thread.
+ * <p>Fires {@link #READ_DECODED} after the messages of each read, also if the read completed no message. Confined to
+ * the I/O thread.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     /** The user event that follows the messages of one read. */
