Correct a comment and a name, and narrow a method to its class

The comment on the names of the services in TestOwnerCapacityOfFleet described who owned them before the change; the constant of SlotIdleTimes did not say what it marks; PoolSelector.order has no caller outside its class. No decision, test or bound changes.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PoolSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PoolSelector.java
@@ -50,7 +50,7 @@
     }
 
     /** Orders the open pools of a service by preference for a piece. */
-    List<PoolKey> order(String service, PieceOrder piece) {
+    private List<PoolKey> order(String service, PieceOrder piece) {
         List<PoolKey> open = getOpenPools(service);
         PieceService spec = layout.getSpec(service);
         if (open.size() == 1 || spec == null) {
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/SlotIdleTimes.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/SlotIdleTimes.java
@@ -11,18 +11,18 @@
  * <p>Each slot in use has no entry; a slot that has ended a call has one. Confined to the decision loop.
  */
 final class SlotIdleTimes {
-    private static final long EMPTY = Long.MIN_VALUE;
+    private static final long NOT_QUEUED = Long.MIN_VALUE;
 
     /** For each idle slot of an endpoint, the total of {@link #getWaitedNanos} when it became idle. */
     private final Map<String, Deque<Long>> waitedAtIdleByEndpoint = new HashMap<>();
 
     private long waitedNanos;
-    private long queuedSinceNanos = EMPTY;
+    private long queuedSinceNanos = NOT_QUEUED;
 
     /** Updates whether pieces are queued; called at the end of each event that can change it. */
     void onQueueChanged(boolean isEmpty, long now) {
         waitedNanos = getWaitedNanos(now);
-        queuedSinceNanos = isEmpty ? EMPTY : now;
+        queuedSinceNanos = isEmpty ? NOT_QUEUED : now;
     }
 
     /** Ends the use of a slot. */
@@ -53,6 +53,6 @@
 
     /** Gets the total time in which pieces were queued. */
     private long getWaitedNanos(long now) {
-        return queuedSinceNanos == EMPTY ? waitedNanos : waitedNanos + now - queuedSinceNanos;
+        return queuedSinceNanos == NOT_QUEUED ? waitedNanos : waitedNanos + now - queuedSinceNanos;
     }
 }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestOwnerCapacityOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestOwnerCapacityOfFleet.java
@@ -34,7 +34,7 @@
     private static final double DEADLINE_SPREAD = 0.15;
     private static final double MAX_BUSY_SHARE = 0.8;
     private static final double MAX_LOSS = 0.05;
-    // In the mixed fleet, small instances own all services named -1, large ones two of those named -9.
+    // Hashing by capacity draws small owners for all services named -1 and large ones for two named -9.
     private static final List<String> NAME_SUFFIXES = List.of("-1", "-9");
 
     /** A fleet, with the capacities of its instances in cores and its share of the load and the endpoints. */
