Let two instances of each availability zone watch the store for the others

Excluded: longer waits alone, since changes end most polls; listing by peers at the start, since instances that start together know nothing. Change: WatcherSelector draws two watchers a zone; they report every response of the store to those that follow them, complete between two revisions (StoreCopy).

--- a/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.fuchsiawharf.core.pieces.PieceResult;
 import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.pieces.StageBacklog;
+import org.fuchsiawharf.core.store.StoreItem;
 
 /**
  * A message from one instance to another.
@@ -91,6 +92,23 @@
      * Requests the entries of the store from the receiver if the receiver has a later revision.
      *
      * @param revision the latest store revision known to the sender, -1 if none
+     * @param follow whether the sender wants to be told of later changes too, for some seconds
      */
-    record AskState(long revision) implements PeerMessage {}
+    record AskState(long revision, boolean follow) implements PeerMessage {}
+
+    /**
+     * Reports the changes in one response of the store to an instance that follows the sender.
+     *
+     * @param after the store revision after which the changes were made
+     * @param revision the store revision up to which the changes are complete
+     * @param changes the changes in the order of the store, empty if there were none
+     * @param afterOutage whether a removed entry may reappear, because the store was unreachable shortly before
+     */
+    record StoreChanges(long after, long revision, List<StoreItem> changes, boolean afterOutage)
+            implements PeerMessage {
+        /** Makes the list immutable. */
+        public StoreChanges {
+            changes = List.copyOf(changes);
+        }
+    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/OwnerSelector.java
@@ -10,6 +10,7 @@
 import org.fuchsiawharf.core.member.Member;
 import org.fuchsiawharf.core.member.MemberTable;
 import org.fuchsiawharf.core.member.PeerPort;
+import org.fuchsiawharf.core.member.WatcherSelector;
 import org.fuchsiawharf.core.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -29,6 +30,7 @@
 
     private final MemberTable members;
     private final PoolLayout layout;
+    private final WatcherSelector watchers;
     private final PeerPort peers;
     private final TimerService timers;
     private final Map<String, Peer> peersByName = new HashMap<>();
@@ -44,6 +46,7 @@
     OwnerSelector(MemberTable members, PoolLayout layout, PeerPort peers, TimerService timers) {
         this.members = members;
         this.layout = layout;
+        this.watchers = new WatcherSelector(members);
         this.peers = peers;
         this.timers = timers;
     }
@@ -107,9 +110,12 @@
                                 .isPresent());
     }
 
-    /** Selects the instances to be connected with: the first candidates for each pool, without this instance. */
+    /**
+     * Selects the instances to be connected with: the watchers of the store in this zone and the first candidates for
+     * each pool, without this instance.
+     */
     Set<Member> selectConnections(Collection<PoolKey> pools) {
-        Set<Member> selected = new LinkedHashSet<>();
+        Set<Member> selected = new LinkedHashSet<>(watchers.getWatchers());
         for (PoolKey pool : pools) {
             List<Member> ranked = rank(pool);
             ranked.stream().limit(CONNECTED_OWNERS).forEach(selected::add);
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawharf/core/store/StoreCopy.java
@@ -0,0 +1,121 @@
+package org.fuchsiawharf.core.store;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A copy of the items of the store, complete up to a revision, with the latest changes.
+ *
+ * <p>Changes may be applied from several sources, which report them in different order and more than once: a change
+ * that the copy contains is not applied again, and one that would leave a gap is not applied. The revision decreases
+ * only with a listing that replaces a lost history. Confined to the decision loop.
+ */
+public final class StoreCopy {
+    /** Number of changes kept for instances that are behind; one further behind is sent the whole copy. */
+    private static final int MAX_HISTORY = 512;
+
+    private final Map<String, byte[]> values = new HashMap<>();
+    private final Deque<StoreItem> history = new ArrayDeque<>();
+    private long historyStart = -1;
+    private long revision = -1;
+
+    /** Creates an empty copy of an unknown revision. */
+    public StoreCopy() {}
+
+    /**
+     * Gets the revision up to which the copy is complete.
+     *
+     * @return the revision, -1 if nothing is known
+     */
+    public long getRevision() {
+        return revision;
+    }
+
+    /**
+     * Gets the values by key.
+     *
+     * @return an immutable copy of the map, never null; the arrays must not be modified
+     */
+    public Map<String, byte[]> getValues() {
+        return Map.copyOf(values);
+    }
+
+    /**
+     * Gets the changes after a revision.
+     *
+     * @param after the revision
+     * @return the changes in the order of the store, null if they are no longer known
+     */
+    public @Nullable List<StoreItem> getChangesSince(long after) {
+        if (historyStart < 0 || after < historyStart) {
+            return null;
+        }
+        return history.stream().filter(item -> item.revision() > after).toList();
+    }
+
+    /**
+     * Replaces the copy with a complete listing.
+     *
+     * @param items every item, not null
+     * @param asOf the revision of the listing
+     * @param historyLost whether the listing replaces a later copy too, since its history is lost
+     * @return false if the copy is later than the listing and was kept
+     */
+    public boolean replace(Iterable<StoreItem> items, long asOf, boolean historyLost) {
+        if (asOf < revision && !historyLost) {
+            return false;
+        }
+        values.clear();
+        history.clear();
+        items.forEach(this::update);
+        revision = asOf;
+        historyStart = asOf;
+        return true;
+    }
+
+    /**
+     * Applies the changes between two revisions.
+     *
+     * @param after the revision after which the changes are complete
+     * @param asOf the revision up to which the changes are complete
+     * @param items the changes in the order of the store, not null
+     * @return the changes that the copy did not contain; null if changes before them are missing and none was applied
+     */
+    public @Nullable List<StoreItem> apply(long after, long asOf, List<StoreItem> items) {
+        if (after > revision) {
+            return null;
+        }
+        List<StoreItem> applied = new ArrayList<>();
+        for (StoreItem item : items) {
+            if (item.revision() > revision) {
+                update(item);
+                remember(item);
+                applied.add(item);
+            }
+        }
+        revision = Math.max(revision, asOf);
+        return applied;
+    }
+
+    private void update(StoreItem item) {
+        byte[] value = item.value();
+        if (value == null) {
+            values.remove(item.key());
+        } else {
+            values.put(item.key(), value);
+        }
+    }
+
+    private void remember(StoreItem item) {
+        history.add(item);
+        if (history.size() > MAX_HISTORY) {
+            historyStart = history.remove().revision();
+        }
+    }
+}
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -8,6 +8,7 @@
 import org.fuchsiawharf.core.member.PeerMessage;
 import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.pieces.StageBacklog;
+import org.fuchsiawharf.core.store.StoreItem;
 import org.fuchsiawharf.core.time.Clock;
 import org.fuchsiawharf.peer.generated.PeerProto;
 import org.jspecify.annotations.Nullable;
@@ -57,7 +58,10 @@
                             PeerProto.Entry.newBuilder().setKey(key).setValue(ByteString.copyFrom(value))));
             frame.setEntries(builder);
         } else if (message instanceof PeerMessage.AskState ask) {
-            frame.setAskState(PeerProto.AskState.newBuilder().setRevision(ask.revision()));
+            frame.setAskState(
+                    PeerProto.AskState.newBuilder().setRevision(ask.revision()).setFollow(ask.follow()));
+        } else if (message instanceof PeerMessage.StoreChanges changes) {
+            frame.setChanges(encodeChanges(changes));
         }
         return frame.build();
     }
@@ -82,7 +86,10 @@
                         frame.getRelease().getHandlesList());
             case HEARTBEAT -> decodeHeartbeat(frame.getHeartbeat());
             case ENTRIES -> decodeEntries(frame.getEntries());
-            case ASK_STATE -> new PeerMessage.AskState(frame.getAskState().getRevision());
+            case ASK_STATE ->
+                new PeerMessage.AskState(
+                        frame.getAskState().getRevision(), frame.getAskState().getFollow());
+            case CHANGES -> decodeChanges(frame.getChanges());
             case HELLO, KIND_NOT_SET -> null;
         };
     }
@@ -122,4 +129,34 @@
                 .forEach(entry -> entries.put(entry.getKey(), entry.getValue().toByteArray()));
         return new PeerMessage.PassEntries(pass.getRevision(), entries);
     }
+
+    private static PeerProto.StoreChanges.Builder encodeChanges(PeerMessage.StoreChanges message) {
+        PeerProto.StoreChanges.Builder builder = PeerProto.StoreChanges.newBuilder()
+                .setAfter(message.after())
+                .setRevision(message.revision())
+                .setAfterOutage(message.afterOutage());
+        for (StoreItem change : message.changes()) {
+            PeerProto.StoreItem.Builder encoded =
+                    PeerProto.StoreItem.newBuilder().setKey(change.key()).setRevision(change.revision());
+            byte[] value = change.value();
+            if (value == null) {
+                encoded.setRemoved(true);
+            } else {
+                encoded.setValue(ByteString.copyFrom(value));
+            }
+            builder.addChanges(encoded);
+        }
+        return builder;
+    }
+
+    private static PeerMessage decodeChanges(PeerProto.StoreChanges message) {
+        List<StoreItem> changes = message.getChangesList().stream()
+                .map(change -> new StoreItem(
+                        change.getKey(),
+                        change.getRevision(),
+                        change.getRemoved() ? null : change.getValue().toByteArray()))
+                .toList();
+        return new PeerMessage.StoreChanges(
+                message.getAfter(), message.getRevision(), changes, message.getAfterOutage());
+    }
 }
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -16,6 +16,7 @@
 import org.fuchsiawharf.core.member.Member;
 import org.fuchsiawharf.core.member.MemberTable;
 import org.fuchsiawharf.core.member.PeerMessage;
+import org.fuchsiawharf.core.member.WatcherSelector;
 import org.fuchsiawharf.core.model.EndpointStatus;
 import org.fuchsiawharf.core.pieces.PieceCalls;
 import org.fuchsiawharf.core.pieces.PoolContext;
@@ -67,6 +68,7 @@
     private final HttpClient client;
     private final RequestLimitReader limitReader;
     private final MemberTable members;
+    private final WatcherSelector watchers;
     private final PeerNetwork peers;
     private final StagePools pools;
     private final RelayInstance instance;
@@ -102,6 +104,7 @@
         this.limitReader = new RequestLimitReader(names, loop, log);
         this.client = new HttpClient(ioThread, names.requestId(), meters);
         this.members = new MemberTable(self);
+        this.watchers = new WatcherSelector(members);
         this.peers = new PeerNetwork(self, ioThread.getGroup(), loop, System::nanoTime, log, meters);
         EndpointTable table = new EndpointTable(self.zone(), NoConcurrencyLimit::new);
         OutlierEjection ejection = new OutlierEjection();
@@ -149,8 +152,9 @@
         peers.bind(new PeerListener() {
             @Override
             public void onMessage(String from, PeerMessage message) {
-                boolean isStateMessage =
-                        message instanceof PeerMessage.AskState || message instanceof PeerMessage.PassEntries;
+                boolean isStateMessage = message instanceof PeerMessage.AskState
+                        || message instanceof PeerMessage.PassEntries
+                        || message instanceof PeerMessage.StoreChanges;
                 if (isStateMessage) {
                     stateMessageHandler.accept(from, message);
                 } else {
@@ -280,6 +284,15 @@
         pools.setMembers(live);
     }
 
+    /**
+     * Gets the selector of the instances that watch the store; used on the decision loop.
+     *
+     * @return the selector, never null
+     */
+    public WatcherSelector getWatchers() {
+        return watchers;
+    }
+
     /**
      * Gets the decision loop.
      *
