Examine the connections only in ticks in which a heartbeat can be due

Cause: each tick, ten a second, listed and sorted the names of all connections and ranked the owners of every pool, also on an instance that serves nothing. Change: PeerHeartbeats gets the connections when a heartbeat to all can be due or an instance waits; whether a pool is owned was computed with the last layout.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PeerHeartbeats.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PeerHeartbeats.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * Tracks which instances wait for pieces that run here, and selects those to which a heartbeat is due.
@@ -73,17 +74,21 @@
     /**
      * Advances by one tick and selects the instances to which a heartbeat is due.
      *
-     * @param connected the connected instances, not null
+     * @param connected gets the connected instances; called only if a heartbeat can be due; not null
      * @param ownsService whether this instance is the owner of a service
      * @return the names of the instances, never null
      */
-    List<String> selectDue(Collection<String> connected, boolean ownsService) {
+    List<String> selectDue(Supplier<Collection<String>> connected, boolean ownsService) {
         ticks++;
-        long slowdown = 1 + connected.size() / FULL_RATE_CONNECTIONS;
-        long intervalTicks = Math.min(MAX_TICKS, slowdown * (ownsService ? OWNER_TICKS : NON_OWNER_TICKS));
-        boolean dueToAll = ticks % intervalTicks == 0;
-        boolean dueToWaiting = ticks % WAITING_TICKS == 0;
-        return connected.stream()
+        long minIntervalTicks = ownsService ? OWNER_TICKS : NON_OWNER_TICKS;
+        boolean dueToWaiting = ticks % WAITING_TICKS == 0 && !unfinishedByPeer.isEmpty();
+        if (!dueToWaiting && ticks % minIntervalTicks != 0) {
+            return List.of();
+        }
+        Collection<String> names = connected.get();
+        long slowdown = 1 + names.size() / FULL_RATE_CONNECTIONS;
+        boolean dueToAll = ticks % Math.min(MAX_TICKS, slowdown * minIntervalTicks) == 0;
+        return names.stream()
                 .filter(peer -> dueToAll || (dueToWaiting && unfinishedByPeer.containsKey(peer)))
                 .toList();
     }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StagePools.java
@@ -411,8 +411,8 @@
         // Before heartbeats, which must not take the room of results and pieces on a full connection.
         resultOutbox.sendUnsent();
         refusedPieces.removeHeld().forEach(this::send);
-        sendHeartbeats(heartbeats.selectDue(
-                peers.getConnectedPeers(), layout.getPools().stream().anyMatch(owners::isOwnerOf)));
+        sendHeartbeats(
+                heartbeats.selectDue(peers::getConnectedPeers, !ownedPools.get().isEmpty()));
         // Messages that arrived while this loop was late are processed after this tick.
         long boundNanos = PeerHeartbeats.SILENCE_BOUND_NANOS + lateNanos;
         Set<String> silentOwners = outstanding.findSilentOwners(owners, timers.now() - boundNanos);
