Send nothing to endpoints that state that they leave or ask for a pause

Neither was read; RelayInstance.onLeaving had no caller. Excluded: the entry in the store, which may reach an instance later than the response. A leaving endpoint stays so for its incarnation. A pause is part of RequestLimit, which every selection asks, so that requests, pieces, probes and releases wait alike; it does not touch health. A request for which all endpoints pause is refused at once, with a Retry-After no shorter than the shortest pause. Not done: telling other instances of a leaving endpoint.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
@@ -10,6 +10,11 @@
  * <p>Confined to the decision loop.
  */
 final class EndpointChoice {
+    /** Retry delay while no endpoint can be used. */
+    static final long NO_ENDPOINT_RETRY_MILLIS = 400;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final RelayContext context;
     private final ServicePool pool;
     private final long prefixKey;
@@ -50,6 +55,17 @@
                 .orElse(Long.MAX_VALUE);
     }
 
+    /** Gets the retry delay of a request for which there is no endpoint, at least until one that paused accepts again. */
+    long getRetryMillis() {
+        long now = context.timers().now();
+        long pauseNanos = pool.getEndpoints().stream()
+                .filter(endpoint -> !endpoint.isLeaving())
+                .mapToLong(endpoint -> Math.max(now, endpoint.getRequestLimit().getPausedUntilNanos()) - now)
+                .min()
+                .orElse(0);
+        return Math.max(NO_ENDPOINT_RETRY_MILLIS, pauseNanos / NANOS_PER_MILLI);
+    }
+
     /**
      * Reserves the next request to a service whose endpoints are all limited, until {@link #release}; a request with
      * stages is sent only after them. Returns false if another request has reserved it.
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -140,6 +140,28 @@
         }
     }
 
+    /**
+     * Sends no request of any kind to an endpoint for the time for which it asked, with a refusal.
+     *
+     * @param endpoint the name of the endpoint, not null
+     * @param nanos the time from now on, in nanoseconds
+     */
+    public void onPauseRequested(String endpoint, long nanos) {
+        EndpointState state = context.table().getEndpoint(endpoint);
+        if (state != null) {
+            context.log()
+                    .write(
+                            "endpoint.paused",
+                            "endpoint",
+                            endpoint,
+                            "millis",
+                            nanos / 1_000_000,
+                            "service",
+                            state.getEndpoint().service());
+            state.getRequestLimit().pauseUntil(context.timers().now() + nanos);
+        }
+    }
+
     /**
      * Gets the number of requests in flight.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -33,8 +33,6 @@
     private static final int ROUTE_RANKS = 3;
     /** How much earlier than necessary a stage starts if no other depends on it; about the time of one stage call. */
     private static final double START_MARGIN_MILLIS = 300;
-    /** Retry delay when no endpoint can accept the request now. */
-    private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
     /** Retry delay when the request limits of all endpoints are used up; about the interval of a limit of one a second. */
     private static final long LIMITED_RETRY_MILLIS = 1_000;
     /** Minimum interval at which a request whose stages are done checks whether a limited endpoint accepts it. */
@@ -124,7 +122,7 @@
         Route route = routedRequest.route();
         EndpointState endpoint = choice.select(avoidedEndpoint);
         if (endpoint == null) {
-            rejectNotRun(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", NO_ENDPOINT_RETRY_MILLIS);
+            rejectNotRun(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", choice.getRetryMillis());
             return;
         }
         if (route.stages().isEmpty()) {
@@ -216,7 +214,7 @@
 
     /** Ends the request because the instance stops. */
     void onStopping() {
-        fail(ErrorCode.SHUTTING_DOWN, "this instance stops", NO_ENDPOINT_RETRY_MILLIS);
+        fail(ErrorCode.SHUTTING_DOWN, "this instance stops", EndpointChoice.NO_ENDPOINT_RETRY_MILLIS);
     }
 
     /** Ends the request because its caller closed the connection. */
@@ -235,7 +233,7 @@
             return;
         }
         if (endpoint == null || remainingNanos < NANOS_PER_MILLI) {
-            fail(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", NO_ENDPOINT_RETRY_MILLIS);
+            fail(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", choice.getRetryMillis());
             return;
         }
         choice.release();
@@ -266,11 +264,14 @@
         boolean retryAllowed = !failure.mayHaveRun() || mayTryAnotherEndpoint();
         if (!retryAllowed || attempts >= MAX_ATTEMPTS) {
             String detail = "endpoint " + failedEndpoint.getEndpoint().name() + ": " + failure.getWireName();
-            fail(ErrorCode.STAGE_FAILED, detail, NO_ENDPOINT_RETRY_MILLIS);
+            fail(ErrorCode.STAGE_FAILED, detail, EndpointChoice.NO_ENDPOINT_RETRY_MILLIS);
             return;
         }
         if (failure != CallFailure.NOT_SENT && !context.budget().trySpend(service)) {
-            fail(ErrorCode.OVERLOADED, "the retry budget of " + service + " is spent", NO_ENDPOINT_RETRY_MILLIS);
+            fail(
+                    ErrorCode.OVERLOADED,
+                    "the retry budget of " + service + " is spent",
+                    EndpointChoice.NO_ENDPOINT_RETRY_MILLIS);
             return;
         }
         context.meters().count("resends", failure.getWireName());
@@ -288,7 +289,7 @@
     private void restartStages() {
         EndpointState endpoint = choice.select(avoidedEndpoint);
         if (endpoint == null) {
-            fail(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", NO_ENDPOINT_RETRY_MILLIS);
+            fail(ErrorCode.NO_ENDPOINT, "no endpoint of " + service + " is usable", choice.getRetryMillis());
             return;
         }
         resultsReleased = false;
--- a/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
@@ -3,7 +3,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * The requests per second that an endpoint accepts from all instances together, and this instance's share of them.
+ * The requests per second that an endpoint accepts from all instances together, this instance's share of them, and the
+ * time until which it accepts none from this instance.
  *
  * <p>The share is an interval between two requests of this instance. Unused time is not saved up, so that the instances
  * together never send a burst.
@@ -17,6 +18,7 @@
     private long lastSentNanos;
     private double firstDelayShare;
     private LongSupplier intervalNanos = () -> 0;
+    private long pausedUntilNanos = Long.MIN_VALUE;
 
     /**
      * Sets the share of this instance; called before {@link #onNamed}.
@@ -68,14 +70,32 @@
      * Checks whether this instance may send a request now.
      *
      * @param nowNanos the current time, in nanoseconds
-     * @return true if there is no limit, or the interval has passed
+     * @return true if the endpoint accepts requests, and there is no limit or the interval has passed
      */
     public boolean maySend(long nowNanos) {
-        return nowNanos >= getNextSendNanos();
+        return nowNanos >= pausedUntilNanos && nowNanos >= getNextSendNanos();
     }
 
     /**
-     * Gets the time from which this instance may send a request.
+     * Applies that the endpoint accepts no requests from this instance for a time; a later end is kept.
+     *
+     * @param nanos the end of that time, in nanoseconds
+     */
+    public void pauseUntil(long nanos) {
+        pausedUntilNanos = Math.max(pausedUntilNanos, nanos);
+    }
+
+    /**
+     * Gets the end of the time for which the endpoint accepts no requests from this instance.
+     *
+     * @return the time in nanoseconds, {@link Long#MIN_VALUE} if it never asked for one
+     */
+    public long getPausedUntilNanos() {
+        return pausedUntilNanos;
+    }
+
+    /**
+     * Gets the time from which the limit permits a request.
      *
      * @return the time in nanoseconds; {@link Long#MIN_VALUE} if there is no limit
      */
--- a/relay/src/main/java/org/fuchsiawharf/relay/FieldNames.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/FieldNames.java
@@ -21,6 +21,7 @@
  * @param tokenCounts the number of tokens of the prompt and the maximum number of tokens of the response
  * @param rank the request's rank, on requests to endpoints
  * @param load the endpoint's load, on responses
+ * @param leaving set to 1 on a response if the endpoint leaves and accepts no further requests soon; any of these names
  * @param requestLimit the requests per second that the endpoint accepts from all instances together, on responses; any of
  *     these names
  * @param reserved the fields that only an instance may set, removed from callers' requests
@@ -40,6 +41,7 @@
         String tokenCounts,
         String rank,
         String load,
+        Set<String> leaving,
         Set<String> requestLimit,
         Set<String> reserved) {
 
@@ -59,11 +61,13 @@
             "wharf-token-count",
             "wharf-rank",
             "wharf-load",
+            Set.of("wharf-leaving"),
             Set.of("wharf-request-limit"),
             Set.of());
 
     /** Creates the names with an immutable copy of the reserved fields. */
     public FieldNames {
+        leaving = Set.copyOf(leaving);
         requestLimit = Set.copyOf(requestLimit);
         reserved = Set.copyOf(reserved);
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -101,7 +101,7 @@
         responseHead = head;
         notExecuted = head.contains(names.notExecuted()) || code == MISDIRECTED;
         reportLoad(head.get(names.load()));
-        calls.getLimitReader().onHead(endpoint.name(), head, createdNanos);
+        calls.getNoticeReader().onHead(endpoint.name(), code, head, createdNanos);
         boolean success = code / 100 == 2;
         if (success && (!head.contains(names.signature()) || head.contains(HttpHeaderNames.CONTENT_ENCODING))) {
             fail(CallFailure.GARBAGE, "the successful response has no signature or has a content encoding");
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
@@ -19,9 +19,9 @@
 import org.fuchsiawharf.core.relay.CallerExchange;
 import org.fuchsiawharf.core.relay.EndpointCalls;
 import org.fuchsiawharf.core.relay.RelayInstance;
+import org.fuchsiawharf.relay.EndpointNoticeReader;
 import org.fuchsiawharf.relay.FieldNames;
 import org.fuchsiawharf.relay.IoThread;
-import org.fuchsiawharf.relay.RequestLimitReader;
 import org.fuchsiawharf.relay.client.HttpCall;
 import org.fuchsiawharf.relay.client.HttpClient;
 import org.jspecify.annotations.Nullable;
@@ -55,7 +55,7 @@
     private final FieldNames names;
     private final Executor decisionLoop;
     private final DecisionLog log;
-    private final RequestLimitReader limitReader;
+    private final EndpointNoticeReader noticeReader;
     private @Nullable RelayInstance instance;
     private long bufferedBytes;
 
@@ -67,7 +67,7 @@
      * @param names the names of the header fields, not null
      * @param decisionLoop executes tasks on the decision loop, not null
      * @param log records malformed load reports, not null
-     * @param limitReader reads the request limits of responses, not null
+     * @param noticeReader reads the notices in responses, not null
      */
     public RelayedCalls(
             IoThread ioThread,
@@ -75,13 +75,13 @@
             FieldNames names,
             Executor decisionLoop,
             DecisionLog log,
-            RequestLimitReader limitReader) {
+            EndpointNoticeReader noticeReader) {
         this.ioThread = ioThread;
         this.client = client;
         this.names = names;
         this.decisionLoop = decisionLoop;
         this.log = log;
-        this.limitReader = limitReader;
+        this.noticeReader = noticeReader;
     }
 
     /**
@@ -197,8 +197,8 @@
         return names;
     }
 
-    RequestLimitReader getLimitReader() {
-        return limitReader;
+    EndpointNoticeReader getNoticeReader() {
+        return noticeReader;
     }
 
     DecisionLog getLog() {
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -31,9 +31,9 @@
 import org.fuchsiawharf.core.time.TimerService;
 import org.fuchsiawharf.peer.PeerListener;
 import org.fuchsiawharf.peer.PeerNetwork;
+import org.fuchsiawharf.relay.EndpointNoticeReader;
 import org.fuchsiawharf.relay.FieldNames;
 import org.fuchsiawharf.relay.IoThread;
-import org.fuchsiawharf.relay.RequestLimitReader;
 import org.fuchsiawharf.relay.client.HttpClient;
 import org.fuchsiawharf.relay.edge.CallerServer;
 import org.fuchsiawharf.relay.edge.RelayedCalls;
@@ -66,7 +66,7 @@
     private final IoThread ioThread = new IoThread();
     private final ProcessUsage usage = new ProcessUsage();
     private final HttpClient client;
-    private final RequestLimitReader limitReader;
+    private final EndpointNoticeReader noticeReader;
     private final MemberTable members;
     private final WatcherSelector watchers;
     private final PeerNetwork peers;
@@ -101,7 +101,7 @@
         Member self = settings.self();
         this.loop = new TaskLoop(self.name(), System::nanoTime);
         TimerService timers = loop.getTimers();
-        this.limitReader = new RequestLimitReader(names, loop, log);
+        this.noticeReader = new EndpointNoticeReader(names, loop, log);
         this.client = new HttpClient(ioThread, names.requestId(), meters);
         this.members = new MemberTable(self);
         this.watchers = new WatcherSelector(members);
@@ -120,7 +120,7 @@
                 members,
                 peers,
                 new PoolContext(table, ejection, pieceCalls.apply(this), timers, retryBudget, log, meters));
-        RelayedCalls calls = new RelayedCalls(ioThread, client, names, loop, log, limitReader);
+        RelayedCalls calls = new RelayedCalls(ioThread, client, names, loop, log, noticeReader);
         this.instance = new RelayInstance(new RelayContext(
                 table,
                 new ExpectedCompletionSelector(random, CROSS_ZONE_COST_NANOS, CACHED_PROMPT_SAVING_NANOS),
@@ -136,7 +136,22 @@
                 log,
                 meters));
         calls.setInstance(instance);
-        limitReader.setListener(instance::onRequestLimit);
+        noticeReader.setListener(new EndpointNoticeReader.Listener() {
+            @Override
+            public void onLeaving(String endpoint) {
+                instance.onLeaving(endpoint);
+            }
+
+            @Override
+            public void onPauseRequested(String endpoint, long nanos) {
+                instance.onPauseRequested(endpoint, nanos);
+            }
+
+            @Override
+            public void onRequestLimit(String endpoint, double perSecond, long sentNanos) {
+                instance.onRequestLimit(endpoint, perSecond, sentNanos);
+            }
+        });
         this.callerServer = new CallerServer(ioThread, names, instance, loop, log, meters);
         loop.addPauseListener(nanos -> {
             log.write("instance.paused", "millis", nanos / 1_000_000);
@@ -312,12 +327,12 @@
     }
 
     /**
-     * Gets the reader of the request limits that endpoints name.
+     * Gets the reader of the notices that endpoints give about themselves.
      *
      * @return the reader, never null
      */
-    public RequestLimitReader getLimitReader() {
-        return limitReader;
+    public EndpointNoticeReader getNoticeReader() {
+        return noticeReader;
     }
 
     /**
--- /dev/null
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointNoticeReader.java
@@ -0,0 +1,86 @@
+package org.fuchsiawharf.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+class TestEndpointNoticeReader {
+    private final List<String> notices = new ArrayList<>();
+    private final List<String> events = new ArrayList<>();
+    private final EndpointNoticeReader reader =
+            new EndpointNoticeReader(FieldNames.DEFAULT, Runnable::run, (event, fields) -> events.add(event));
+
+    TestEndpointNoticeReader() {
+        reader.setListener(new EndpointNoticeReader.Listener() {
+            @Override
+            public void onLeaving(String endpoint) {
+                notices.add(endpoint + " leaves");
+            }
+
+            @Override
+            public void onPauseRequested(String endpoint, long nanos) {
+                notices.add(endpoint + " pauses for " + nanos / 1_000_000);
+            }
+
+            @Override
+            public void onRequestLimit(String endpoint, double perSecond, long sentNanos) {
+                notices.add(endpoint + " accepts " + perSecond);
+            }
+        });
+    }
+
+    private void read(int status, String... fields) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        for (int i = 0; i < fields.length; i += 2) {
+            headers.set(fields[i], fields[i + 1]);
+        }
+        reader.onHead("e", status, headers, 0);
+    }
+
+    @Test
+    void readsThatEndpointLeavesFromAnyResponse() {
+        read(200, "Wharf-Leaving", "1");
+        read(500, "Wharf-Leaving", "1");
+        read(200, "Wharf-Leaving", "0");
+        assertThat(notices, contains("e leaves", "e leaves"));
+    }
+
+    @Test
+    void readsPauseFromRefusalOnly() {
+        read(503, "Retry-After", "1.5");
+        read(200, "Retry-After", "9");
+        read(429, "Retry-After", "9");
+        read(503, "Retry-After", "0");
+        assertThat(notices, contains("e pauses for 1500"));
+        assertThat(events, is(empty()));
+    }
+
+    @Test
+    void ignoresMalformedAndBoundsLongPause() {
+        for (String value : List.of("soon", "", "-3", "NaN", "Infinity")) {
+            read(503, "Retry-After", value);
+        }
+        assertThat(notices, is(empty()));
+        assertThat(events.size(), is(5));
+        read(503, "Retry-After", "1e9");
+        assertThat(notices, contains("e pauses for 600000"));
+    }
+
+    @Test
+    void readsLimitAndItsEnd() {
+        read(200);
+        read(200, "Wharf-Request-Limit", "4.5");
+        read(200);
+        read(200, "Wharf-Request-Limit", "none");
+        assertThat(notices, contains("e accepts 4.5", "e accepts 0.0"));
+        assertThat(events, contains("endpoint.limit_malformed"));
+    }
+}
