--- a/core/src/main/java/org/fuchsiawharf/core/store/WatchDuty.java
+++ b/core/src/main/java/org/fuchsiawharf/core/store/WatchDuty.java
@@ -34,7 +34,7 @@
     private long confirmedNanos;
 
     /**
-     * Creates a duty; polling is due to others only after the first silence.
+     * Creates a duty; an instance that is no watcher polls after the first silence only.
      *
      * @param isWatcher whether this instance is a selected watcher, not null
      * @param timers the timer service, not null
