Advise callers of a spent retry budget like those without an endpoint

A request that may not be sent again for want of retry budget got the fixed delay also while all endpoints pause. Without a pause the delay is as before.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -268,10 +268,7 @@
             return;
         }
         if (failure != CallFailure.NOT_SENT && !context.budget().trySpend(service)) {
-            fail(
-                    ErrorCode.OVERLOADED,
-                    "the retry budget of " + service + " is spent",
-                    EndpointChoice.NO_ENDPOINT_RETRY_MILLIS);
+            fail(ErrorCode.OVERLOADED, "the retry budget of " + service + " is spent", choice.getRetryMillis());
             return;
         }
         context.meters().count("resends", failure.getWireName());
