Keep what an endpoint has stated while its entry is absent

Callers' requests reached endpoints that had said that they leave (DRAIN) or had asked for a pause (BUDGET). Cause: absence from a listing, an entry that states draining, and the endpoint's own notice shared one boolean of EndpointState, and the state was discarded when the entry was absent from one listing without a call in flight. Leases expire in outages of the store; two seconds later the same incarnation was listed again as a new endpoint that had stated nothing. The reverse as well: an endpoint absent during a call counted as leaving for the rest of its incarnation, so that capacity was lost after each outage. Change: EndpointNotices holds what one incarnation has stated, outlives the absence of the entry, and follows the endpoint to a new address; absence is a fact of its own. A new incarnation starts without notices.

--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
@@ -26,10 +26,9 @@
     private final ConcurrencyLimit limit;
     private final LatencyEstimate serviceTime;
     private final LatencyEstimate tokenInterval = new LatencyEstimate(0);
-    private final RequestLimit requestLimit = new RequestLimit();
+    private final EndpointNotices notices;
     private final long[] prefixes = new long[PREFIX_BUCKETS];
 
-    private boolean leaving;
     private boolean listed = true;
     private int inFlight;
     private int inFlightAtLastReport;
@@ -54,7 +53,22 @@
      * @param priorNanos the assumed time of a call before the first sample, in nanoseconds
      */
     public EndpointState(Endpoint endpoint, boolean ownZone, ConcurrencyLimit limit, double priorNanos) {
+        this(endpoint, ownZone, limit, priorNanos, new EndpointNotices());
+    }
+
+    /**
+     * Creates the state of an endpoint that has given notices before.
+     *
+     * @param endpoint the endpoint, not null
+     * @param ownZone whether the endpoint runs in the instance's availability zone
+     * @param limit the limit on this instance's calls in flight, not null
+     * @param priorNanos the assumed time of a call before the first sample, in nanoseconds
+     * @param notices what this incarnation of the endpoint has stated so far, not null
+     */
+    EndpointState(
+            Endpoint endpoint, boolean ownZone, ConcurrencyLimit limit, double priorNanos, EndpointNotices notices) {
         this.endpoint = endpoint;
+        this.notices = notices;
         this.ownZone = ownZone;
         this.limit = limit;
         this.serviceTime = new LatencyEstimate(priorNanos);
@@ -96,7 +110,7 @@
      *     of this instance in flight
      */
     public boolean isUsable() {
-        return listed && !leaving && (!ejected || (probing && inFlight == 0));
+        return !isLeaving() && (!ejected || (probing && inFlight == 0));
     }
 
     /**
@@ -211,7 +225,11 @@
      * @return the limit, never null
      */
     public RequestLimit getRequestLimit() {
-        return requestLimit;
+        return notices.getRequestLimit();
+    }
+
+    EndpointNotices getNotices() {
+        return notices;
     }
 
     /**
@@ -288,28 +306,26 @@
     }
 
     /**
-     * Applies the directory's listing.
+     * Applies the directory's listing. An endpoint that is absent receives no new calls until it is listed again.
      *
      * @param nowListed whether the directory lists the endpoint
-     * @param nowLeaving whether the directory lists it as leaving
      */
-    public void onListed(boolean nowListed, boolean nowLeaving) {
+    void onListed(boolean nowListed) {
         listed = nowListed;
-        leaving = nowLeaving;
     }
 
-    /** Records that the endpoint itself reported that it is leaving. */
+    /** Records that the endpoint stated, in its entry or in a response, that it is leaving; holds for its incarnation. */
     public void onLeaving() {
-        leaving = true;
+        notices.onLeaving();
     }
 
     /**
-     * Checks whether the endpoint is leaving.
+     * Checks whether the endpoint is leaving or absent from the directory.
      *
      * @return true if it accepts no new calls
      */
     public boolean isLeaving() {
-        return leaving;
+        return !listed || notices.isLeaving();
     }
 
     // -----------------------------------------------------------------------
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,11 +17,13 @@
 /**
  * The endpoints known to an instance, indexed by name and by service.
  *
- * <p>An endpoint that the directory no longer lists keeps its state while calls to it are in flight. Confined to the
- * decision loop.
+ * <p>An endpoint that the directory no longer lists keeps its state while calls to it are in flight. What an incarnation
+ * of an endpoint has stated about itself holds again if the directory lists it again. Confined to the decision loop.
  */
 public final class EndpointTable {
     private static final double PRIOR_CALL_NANOS = 20e6;
+    /** Number of absent endpoints whose notices are kept: twice the largest number of endpoints. */
+    private static final int MAX_ABSENT_NOTICES = 4_096;
 
     private final String zone;
     private final Supplier<ConcurrencyLimit> limitFactory;
@@ -28,6 +31,9 @@
     private final Map<String, EndpointState> byAddress = new HashMap<>();
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, ServicePool> pools = new HashMap<>();
+    private final Map<String, AbsentNotices> absentNotices = new LinkedHashMap<>();
+
+    private record AbsentNotices(long incarnation, EndpointNotices notices) {}
 
     /**
      * Creates an empty table.
@@ -94,7 +100,6 @@
             addOrUpdate(status, changed);
         }
         byName.values().removeIf(state -> delistIfAbsent(state, listed, changed));
-        incarnations.keySet().retainAll(byName.keySet());
         byAddress.clear();
         byName.values()
                 .forEach(state -> byAddress.putIfAbsent(
@@ -106,31 +111,60 @@
     }
 
     private void addOrUpdate(EndpointStatus status, Set<String> changed) {
-        EndpointState state = byName.get(status.endpoint().name());
         String name = status.endpoint().name();
-        boolean restarted = status.incarnation() != incarnations.getOrDefault(name, 0L);
+        EndpointState state = byName.get(name);
+        boolean restarted = status.incarnation() != incarnations.getOrDefault(name, status.incarnation());
         if (state == null || restarted || !state.getEndpoint().equals(status.endpoint())) {
             boolean ownZone = status.endpoint().zone().equals(zone);
-            state = new EndpointState(status.endpoint(), ownZone, limitFactory.get(), PRIOR_CALL_NANOS);
+            EndpointNotices notices = takeNotices(status, restarted ? null : state);
+            state = new EndpointState(status.endpoint(), ownZone, limitFactory.get(), PRIOR_CALL_NANOS, notices);
             byName.put(name, state);
             incarnations.put(name, status.incarnation());
             changed.add(status.endpoint().service());
         }
-        boolean leaving = status.leaving() || state.isLeaving();
-        if (leaving != state.isLeaving()) {
+        boolean wasLeaving = state.isLeaving();
+        state.onListed(true);
+        if (status.leaving()) {
+            state.onLeaving();
+        }
+        if (state.isLeaving() != wasLeaving) {
             changed.add(status.endpoint().service());
         }
-        state.onListed(true, leaving);
+    }
+
+    // Gets the notices of the same incarnation under its previous address or before it was absent.
+    private EndpointNotices takeNotices(EndpointStatus status, @Nullable EndpointState sameIncarnation) {
+        AbsentNotices absent = absentNotices.remove(status.endpoint().name());
+        if (sameIncarnation != null) {
+            return sameIncarnation.getNotices();
+        }
+        boolean stillValid = absent != null && absent.incarnation() == status.incarnation();
+        return stillValid ? absent.notices() : new EndpointNotices();
     }
 
     // Marks an endpoint as unlisted if it is absent; returns true if no call to it is in flight, so it can be removed.
-    private static boolean delistIfAbsent(EndpointState state, Set<String> listed, Set<String> changed) {
-        if (listed.contains(state.getEndpoint().name())) {
+    private boolean delistIfAbsent(EndpointState state, Set<String> listed, Set<String> changed) {
+        String name = state.getEndpoint().name();
+        if (listed.contains(name)) {
             return false;
         }
-        state.onListed(false, true);
+        state.onListed(false);
         changed.add(state.getEndpoint().service());
-        return state.getInFlight() == 0;
+        if (state.getInFlight() > 0) {
+            return false;
+        }
+        Long incarnation = incarnations.remove(name);
+        if (incarnation != null && !state.getNotices().isEmpty()) {
+            keepNotices(name, new AbsentNotices(incarnation, state.getNotices()));
+        }
+        return true;
+    }
+
+    private void keepNotices(String name, AbsentNotices notices) {
+        absentNotices.put(name, notices);
+        if (absentNotices.size() > MAX_ABSENT_NOTICES) {
+            absentNotices.remove(absentNotices.keySet().iterator().next());
+        }
     }
 
     private List<EndpointState> endpointsOf(String service) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -108,7 +108,8 @@
         return fixture;
     }
 
-    void listEndpoints() {
+    /** Lists all endpoints but those with the given names. */
+    void listEndpoints(String... absent) {
         List<EndpointStatus> listing = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             listing.add(status("p" + i, "plain", 10 + i));
@@ -118,6 +119,7 @@
             listing.add(status("g" + i, "engine", 30 + i));
             listing.add(status("s" + i, "encode", 40 + i));
         }
+        listing.removeIf(status -> List.of(absent).contains(status.endpoint().name()));
         instance.onEndpoints(listing);
     }
 
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestEndpointNotices.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestEndpointNotices.java
@@ -33,6 +33,11 @@
                 .toList();
     }
 
+    private void listNoOtherThan(String endpoint) {
+        fixture.listEndpoints(
+                ENDPOINTS.stream().filter(other -> !other.equals(endpoint)).toArray(String[]::new));
+    }
+
     private void pause(String endpoint) {
         fixture.instance.onPauseRequested(endpoint, PAUSE_MILLIS * 1_000_000L);
     }
@@ -87,4 +92,39 @@
         fixture.instance.onRequestLimit(first, 0, Long.MAX_VALUE);
         assertThat(endpointsOf(REQUESTS), not(hasItem(first)));
     }
+
+    // -----------------------------------------------------------------------
+
+    @Test
+    void endpointThatLeavesReceivesNoRequestAfterItsEntryExpiredAndReturned() {
+        String first = endpointsOf(1).get(0);
+        fixture.instance.onLeaving(first);
+        fixture.listEndpoints(first);
+        fixture.listEndpoints();
+        assertThat(endpointsOf(REQUESTS), not(hasItem(first)));
+    }
+
+    @Test
+    void endpointThatPausesReceivesNoRequestAfterItsEntryExpiredAndReturned() {
+        String first = endpointsOf(1).get(0);
+        pause(first);
+        fixture.listEndpoints(first);
+        fixture.listEndpoints();
+        assertThat(endpointsOf(REQUESTS), not(hasItem(first)));
+        fixture.advance(PAUSE_MILLIS);
+        listNoOtherThan(first);
+        assertThat(endpointsOf(1), contains(first));
+    }
+
+    @Test
+    void endpointAbsentDuringCallReceivesRequestsOnceItIsListedAgain() {
+        fixture.request("/get/x", 1_000);
+        FakeEndpointCalls.SentCall call = fixture.calls.last();
+        String name = call.endpoint.name();
+        fixture.listEndpoints(name);
+        assertThat(endpointsOf(REQUESTS), not(hasItem(name)));
+        listNoOtherThan(name);
+        call.respond(200);
+        assertThat(endpointsOf(1), contains(name));
+    }
 }
--- a/core/src/test/java/org/fuchsiawharf/core/routing/TestEndpointTable.java
+++ b/core/src/test/java/org/fuchsiawharf/core/routing/TestEndpointTable.java
@@ -50,4 +50,36 @@
         assertThat(findName("10.0.0.1:80/x"), is(nullValue()));
         assertThat(findName("10.0.0.2:80/x"), is("e1"));
     }
+
+    private boolean isUsable(Endpoint endpoint) {
+        EndpointState state = table.getEndpoint(endpoint.name());
+        return state != null && state.isUsable();
+    }
+
+    private void listIncarnation(Endpoint endpoint, long incarnation, boolean leaving) {
+        table.update(List.of(new EndpointStatus(endpoint, leaving, incarnation)));
+    }
+
+    @Test
+    void restartOfLeavingEndpointIsUsableEvenAfterItWasAbsent() {
+        Endpoint endpoint = new Endpoint("e1", "s", "a", "10.0.0.1", 80);
+        listIncarnation(endpoint, 1, true);
+        list();
+        listIncarnation(endpoint, 1, false);
+        assertThat(isUsable(endpoint), is(false));
+        list();
+        listIncarnation(endpoint, 2, false);
+        assertThat(isUsable(endpoint), is(true));
+        listIncarnation(endpoint, 2, true);
+        listIncarnation(endpoint, 3, false);
+        assertThat(isUsable(endpoint), is(true));
+    }
+
+    @Test
+    void endpointThatLeavesIsNotUsableAtItsNewAddress() {
+        listIncarnation(new Endpoint("e1", "s", "a", "10.0.0.1", 80), 1, true);
+        Endpoint moved = new Endpoint("e1", "s", "a", "10.0.0.2", 80);
+        listIncarnation(moved, 1, false);
+        assertThat(isUsable(moved), is(false));
+    }
 }
