--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ResultOwners.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ResultOwners.java
@@ -41,7 +41,7 @@
         for (String handle : handles) {
             EndpointState producer = context.table().findByHandle(handle);
             long now = context.timers().now();
-            if (producer != null && producer.getRequestLimit().maySend(now)) {
+            if (producer != null && producer.acceptsRequest(now)) {
                 producer.getRequestLimit().onSent(now);
                 context.calls().release(producer.getEndpoint(), List.of(handle), () -> {});
             }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ResultReleases.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ResultReleases.java
@@ -72,7 +72,8 @@
 
     private void sendTo(String producer, List<String> handles) {
         EndpointState state = table.getEndpoint(producer);
-        if (state == null) {
+        // The results of an endpoint that leaves expire with it.
+        if (state == null || state.isLeaving()) {
             return;
         }
         long sentNanos = timers.now();
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
@@ -37,13 +37,9 @@
         }
         // If no endpoint is healthy, any listed endpoint is used: an attempt may succeed where a refusal cannot.
         return pool.getEndpoints().stream()
-                .filter(endpoint -> endpoint != avoided && isSendable(endpoint, now))
+                .filter(endpoint -> endpoint != avoided && endpoint.acceptsRequest(now))
                 .min((a, b) -> Integer.compare(a.getInFlight(), b.getInFlight()))
-                .orElse(avoided != null && isSendable(avoided, now) ? avoided : null);
-    }
-
-    private static boolean isSendable(EndpointState endpoint, long now) {
-        return !endpoint.isLeaving() && endpoint.getRequestLimit().maySend(now);
+                .orElse(avoided != null && avoided.acceptsRequest(now) ? avoided : null);
     }
 
     /** Gets the time from which the request limit of an endpoint permits a request; the maximum if none limits them. */
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
@@ -113,6 +113,16 @@
         return !isLeaving() && (!ejected || (probing && inFlight == 0));
     }
 
+    /**
+     * Checks whether the endpoint accepts a request of any kind, regardless of its health and occupancy.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     * @return true if the endpoint is not leaving, and neither a pause nor a limit that it named forbids the request
+     */
+    public boolean acceptsRequest(long nowNanos) {
+        return !isLeaving() && getRequestLimit().maySend(nowNanos);
+    }
+
     /**
      * Checks whether this instance may send one more call.
      *
