--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
@@ -70,6 +70,26 @@
         assertThat(endpoint.requests, hasSize(1));
     }
 
+    @Test
+    void requestAfterResponseOfLeavingEndpointIsNotSentThere() throws Exception {
+        endpoint.then((request, socket) ->
+                write(socket, head(request, 200) + "Wharf-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"));
+        assertThat(send("/get/a", "id-1").status(), is(200));
+        assertThat(send("/get/b", "id-2").status(), is(503));
+        assertThat(endpoint.requests, hasSize(1));
+    }
+
+    @Test
+    void requestDuringPauseOfEndpointIsNotSentThere() throws Exception {
+        endpoint.then((request, socket) -> write(
+                socket,
+                "HTTP/1.1 503 Busy\r\nWharf-Request-Id: " + request.field("wharf-request-id")
+                        + "\r\nWharf-Not-Executed: 1\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n"));
+        assertThat(send("/post/a", "id-1").status(), is(503));
+        assertThat(send("/post/b", "id-2").status(), is(503));
+        assertThat(endpoint.requests, hasSize(1));
+    }
+
     /** Responses that are incomplete, malformed or not produced by the endpoint. */
     static Stream<Arguments> brokenAnswers() {
         return Stream.of(
