Do not take a catch-up reply for a report of the store

An instance could learn late that an endpoint drains (DRAIN, bound 2 s on the shortest deployment), found by reading. Cause: the reply to a request to follow carries what the sender knew before, also from an instance that does not poll; it counted as a report of the store, so that the asker did not poll for up to 1.6 s more. Change: such a reply says that it is one; it is applied and confirms nothing. Receivers of the previous version ignore the field. Not changed: a follower of silent watchers polls after 1.6 s, and one lost poll of its own adds as much.

--- a/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
@@ -103,8 +103,9 @@
      * @param revision the store revision up to which the changes are complete
      * @param changes the changes in the order of the store, empty if there were none
      * @param afterOutage whether a removed entry may reappear, because the store was unreachable shortly before
+     * @param catchUp whether the sender answers a request with what it knew before, which confirms nothing of the store
      */
-    record StoreChanges(long after, long revision, List<StoreItem> changes, boolean afterOutage)
+    record StoreChanges(long after, long revision, List<StoreItem> changes, boolean afterOutage, boolean catchUp)
             implements PeerMessage {
         /** Makes the list immutable. */
         public StoreChanges {
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -134,7 +134,8 @@
         PeerProto.StoreChanges.Builder builder = PeerProto.StoreChanges.newBuilder()
                 .setAfter(message.after())
                 .setRevision(message.revision())
-                .setAfterOutage(message.afterOutage());
+                .setAfterOutage(message.afterOutage())
+                .setCatchUp(message.catchUp());
         for (StoreItem change : message.changes()) {
             PeerProto.StoreItem.Builder encoded =
                     PeerProto.StoreItem.newBuilder().setKey(change.key()).setRevision(change.revision());
@@ -157,6 +158,10 @@
                         change.getRemoved() ? null : change.getValue().toByteArray()))
                 .toList();
         return new PeerMessage.StoreChanges(
-                message.getAfter(), message.getRevision(), changes, message.getAfterOutage());
+                message.getAfter(),
+                message.getRevision(),
+                changes,
+                message.getAfterOutage(),
+                message.getCatchUp());
     }
 }
