--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -158,10 +158,6 @@
                         change.getRemoved() ? null : change.getValue().toByteArray()))
                 .toList();
         return new PeerMessage.StoreChanges(
-                message.getAfter(),
-                message.getRevision(),
-                changes,
-                message.getAfterOutage(),
-                message.getCatchUp());
+                message.getAfter(), message.getRevision(), changes, message.getAfterOutage(), message.getCatchUp());
     }
 }
