Log the prompt parts of failed calls

call.failed named request and endpoint, so that the logs could not tell whether the calls that are lost with an endpoint have a prompt part in common (BUDGET, hypothesis 1 of docs/incidents/prompt-part-crashes.md).

--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -187,7 +187,9 @@
                         "took_ms",
                         elapsedNanos() / NANOS_PER_MILLI,
                         "endpoint_in_flight",
-                        endpoint.getInFlight());
+                        endpoint.getInFlight(),
+                        "parts",
+                        String.join(",", routedRequest.request().promptParts()));
         if (failure == CallFailure.LEAVING) {
             endpoint.onLeaving();
         } else if (failure != CallFailure.INPUTS_GONE
