--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,9 +53,9 @@
     private RelayFixture(long gracePeriodMillis, ScriptedEndpoint... endpoints) throws Exception {
         String host = InetAddress.getLoopbackAddress().getHostAddress();
         settings = new InstanceSettings(
-                new Member("test", 1, "a", host, freePort(), 1),
-                new InetSocketAddress(host, freePort()),
-                new InetSocketAddress(host, freePort()),
+                new Member("test", 1, "a", host, LoopbackPorts.findFree(), 1),
+                new InetSocketAddress(host, LoopbackPorts.findFree()),
+                new InetSocketAddress(host, LoopbackPorts.findFree()),
                 null,
                 0.2,
                 100,
@@ -157,12 +156,6 @@
         return response;
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     @Override
     public void close() {
         process.getLoop().close();
