Count an endpoint that answers again as not ended

An instance that could not reach an endpoint for a time took it for ended, so that a call that was lost there later counted towards a quarantine. An answer that arrives later than the assumed end refutes it (TestPartQuarantine .callsLostAtEndpointsThatAnswerLaterCountForNothing failed before).

--- a/core/src/main/java/org/fuchsiawharf/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/fuchsiawharf/core/quarantine/PartQuarantine.java
@@ -314,6 +314,11 @@
                 && now - unconfirmedAnswers.getFirst().nanos() > SOUND_STREAM_NANOS) {
             Answer answer = unconfirmedAnswers.removeFirst();
             Long endedNanos = endedNanosByEndpoint.get(answer.endpoint());
+            if (endedNanos != null && answer.nanos() > endedNanos) {
+                // The endpoint could only not be reached for a time.
+                endedNanosByEndpoint.remove(answer.endpoint());
+                endedNanos = null;
+            }
             if (endedNanos == null || endedNanos - answer.nanos() > SOUND_STREAM_NANOS) {
                 markSound(answer.parts());
             }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -24,6 +24,9 @@
  * the connection before. Confined to the decision loop.
  */
 public final class RelayInstance {
+    /** Reason given to callers whose prompt has a quarantined part. */
+    static final String QUARANTINE_DETAIL = "endpoints crashed under a part of the prompt";
+
     /** Retry delay while no configuration is available; the store usually responds again within about a second. */
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
 
@@ -229,7 +232,7 @@
                     new Refusal(
                             Refusal.Kind.NOT_RUN,
                             ErrorCode.QUARANTINED,
-                            "endpoints crashed under a part of the prompt",
+                            QUARANTINE_DETAIL,
                             context.quarantine().getRetryMillis(quarantined)));
             return;
         }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -220,7 +220,7 @@
     private void failQuarantined(String part) {
         fail(
                 ErrorCode.QUARANTINED,
-                "endpoints crashed under a part of the prompt",
+                RelayInstance.QUARANTINE_DETAIL,
                 context.quarantine().getRetryMillis(part));
     }
 
@@ -267,10 +267,10 @@
     }
 
     private void retryOrFail(CallFailure failure, EndpointState failedEndpoint) {
-        String quarantined =
+        String part =
                 context.quarantine().getQuarantined(routedRequest.request().sharedParts());
-        if (quarantined != null) {
-            failQuarantined(quarantined);
+        if (part != null) {
+            failQuarantined(part);
             return;
         }
         avoidedEndpoint = failedEndpoint;
@@ -444,9 +444,6 @@
         if (!failure.mayHaveRun()) {
             attemptsWithPossibleEffect--;
         }
-        // A quarantine that follows from this failure has ended the request.
-        if (!ended) {
-            retryOrFail(failure, endpoint);
-        }
+        retryOrFail(failure, endpoint);
     }
 }
--- a/core/src/test/java/org/fuchsiawharf/core/quarantine/TestPartQuarantine.java
+++ b/core/src/test/java/org/fuchsiawharf/core/quarantine/TestPartQuarantine.java
@@ -60,6 +60,20 @@
         assertThat(quarantine.findQuarantined(List.of("session")), is(nullValue()));
     }
 
+    @Test
+    void callsLostAtEndpointsThatAnswerLaterCountForNothing() {
+        for (int i = 0; i < 3; i++) {
+            quarantine.onEnded("e" + i);
+            advance(1);
+            quarantine.onAnswered(List.of("other"), "e" + i);
+            advance(2);
+        }
+        for (int i = 0; i < 3; i++) {
+            quarantine.onLost(List.of("session"), i, "e" + i);
+        }
+        assertThat(quarantine.findQuarantined(List.of("session")), is(nullValue()));
+    }
+
     @Test
     void repeatsOfOnePromptThatWasLostWithFourEndpointsDoNotQuarantineIt() {
         for (int i = 0; i < 4; i++) {
