Take no stream for complete that ends with its connection before an event

Callers would get a complete success without content from an endpoint that crashes as it begins to answer: a response without length and chunks ends with its connection, and the stream had no partial event either. Change: an unframed stream without an event, that continues no earlier one, is lost. Tests over sockets: unframed streams that end between events, within one, by a reset and before the first; the last failed before with 200.

--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -167,6 +167,11 @@
         ByteBuf buffer = bufferedBody;
         if (parser != null && parser.hasPartialEvent()) {
             fail(CallFailure.LOST, "the stream ended within an event");
+        } else if (parser != null
+                && head != null
+                && !isFramed(head)
+                && exchange.getStream().getLastId() < 0) {
+            fail(CallFailure.LOST, "the connection ended before the first event of the stream");
         } else if (parser != null && head != null) {
             ended = true;
             exchange.getStream().sendHead(status, copyEndToEndFields(head));
@@ -187,6 +192,10 @@
         }
     }
 
+    private static boolean isFramed(HttpHeaders head) {
+        return head.contains(HttpHeaderNames.CONTENT_LENGTH) || head.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+
     private CallFailure toNotExecutedFailure(HttpHeaders head) {
         if (status == MISDIRECTED) {
             return CallFailure.LEAVING;
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
@@ -272,6 +272,45 @@
         assertThat(endpoint.requests, hasSize(1));
     }
 
+    @Test
+    void forwardsStreamWithoutFramingIfConnectionEndsBetweenEvents() throws Exception {
+        endpoint.then((r, s) -> {
+            write(s, head(r, 200) + "Connection: close\r\n\r\n" + event(1) + event(2));
+            s.close();
+        });
+        assertThat(send("/verdict/", "r1").body(), is(event(1) + event(2)));
+    }
+
+    @Test
+    void streamWithoutFramingThatEndsWithinEventIsResumed() throws Exception {
+        endpoint.then((r, s) -> {
+                    write(s, head(r, 200) + "Connection: close\r\n\r\n" + event(1) + event(2) + "id: 3\nda");
+                    s.close();
+                })
+                .then(STREAM_EVENTS);
+        assertThat(send("/chat/", "r1").body(), is(COMPLETE_STREAM));
+    }
+
+    @Test
+    void streamWithoutFramingThatIsResetIsResumed() throws Exception {
+        endpoint.then((r, s) -> {
+                    write(s, head(r, 200) + "Connection: close\r\n\r\n" + event(1) + event(2));
+                    Thread.sleep(50);
+                    reset(s);
+                })
+                .then(STREAM_EVENTS);
+        assertThat(send("/chat/", "r1").body(), is(COMPLETE_STREAM));
+    }
+
+    @Test
+    void streamWithoutFramingThatEndsBeforeItsFirstEventIsNotAnswered() throws Exception {
+        endpoint.then((r, s) -> {
+            write(s, head(r, 200) + "Connection: close\r\n\r\n");
+            s.close();
+        });
+        assertThat(send("/verdict/", "r1").status(), is(502));
+    }
+
     @Test
     void dropsDuplicateEvents() throws Exception {
         endpoint.then((r, s) -> {
