Bound the losses that are kept of a part at each endpoint

Found in the read-through; TestPartQuarantine.manyLossesAtOneEndpointDoNotHideThoseAtOthers failed before.

--- a/core/src/main/java/org/fuchsiawharf/core/quarantine/Suspicion.java
+++ b/core/src/main/java/org/fuchsiawharf/core/quarantine/Suspicion.java
@@ -19,8 +19,10 @@
     /** Crashed endpoints from which a part is quarantined even if it occurs in one prompt. */
     private static final int MIN_ENDPOINTS_OF_ONE_PROMPT = 5;
 
-    /** Losses of one part that are kept. */
+    /** Losses of one part that are kept; above the number that can be necessary for a quarantine. */
     private static final int MAX_LOSSES = 32;
+    /** Losses of one part at one endpoint that are kept. */
+    private static final int MAX_LOSSES_OF_ENDPOINT = 4;
 
     private final Map<LostCall, Long> lostNanosByCall = new HashMap<>();
     private long lastLostNanos = Long.MIN_VALUE;
@@ -33,13 +35,22 @@
 
     /** Adds a loss; returns true if it was not known. */
     boolean add(LostCall call, long lostNanos) {
-        if (lostNanosByCall.size() >= MAX_LOSSES || lostNanosByCall.putIfAbsent(call, lostNanos) != null) {
+        if (lostNanosByCall.containsKey(call) || isFull(call.endpoint())) {
             return false;
         }
+        lostNanosByCall.put(call, lostNanos);
         lastLostNanos = Math.max(lastLostNanos, lostNanos);
         return true;
     }
 
+    private boolean isFull(String endpoint) {
+        return lostNanosByCall.size() >= MAX_LOSSES
+                || lostNanosByCall.keySet().stream()
+                                .filter(call -> call.endpoint().equals(endpoint))
+                                .count()
+                        >= MAX_LOSSES_OF_ENDPOINT;
+    }
+
     Map<LostCall, Long> getLosses() {
         return lostNanosByCall;
     }
--- a/core/src/test/java/org/fuchsiawharf/core/quarantine/TestPartQuarantine.java
+++ b/core/src/test/java/org/fuchsiawharf/core/quarantine/TestPartQuarantine.java
@@ -131,6 +131,15 @@
         assertThat(quarantine.getRetryMillis("crash"), is(40_000L));
     }
 
+    @Test
+    void manyLossesAtOneEndpointDoNotHideThoseAtOthers() {
+        for (int i = 0; i < MANY; i++) {
+            quarantine.onLost(List.of("crash"), i, "e0");
+        }
+        quarantinePart(quarantine, "crash");
+        assertThat(quarantine.findQuarantined(List.of("crash")), is("crash"));
+    }
+
     // -----------------------------------------------------------------------
 
     @Test
