--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -218,7 +218,9 @@
                         "endpoint_in_flight",
                         endpoint.getInFlight(),
                         "parts",
-                        String.join(",", routedRequest.request().promptParts()));
+                        String.join(",", routedRequest.request().promptParts()),
+                        "fingerprint",
+                        routedRequest.fingerprint());
         reportCrash(failure);
         if (failure == CallFailure.LEAVING) {
             endpoint.onLeaving();
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayRequest.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayRequest.java
@@ -19,6 +19,7 @@
  * @param promptParts the ids of the parts of the prompt in order, the last of which belongs to this request only
  * @param pieces the number of pieces of each stage
  * @param pieceKey the key of the pieces, null if the request has none
+ * @param contentHash the hash of the method, the target and the body
  */
 public record RelayRequest(
         String id,
@@ -28,7 +29,8 @@
         long deadlineMillis,
         List<String> promptParts,
         List<Integer> pieces,
-        @Nullable String pieceKey) {
+        @Nullable String pieceKey,
+        long contentHash) {
     /** Copies the lists. */
     public RelayRequest {
         promptParts = List.copyOf(promptParts);
@@ -64,6 +66,16 @@
         return promptParts.isEmpty() ? 0 : hash(promptParts.get(promptParts.size() - 1));
     }
 
+    /**
+     * Gets the fingerprint of the request, which is the same each time that a workspace sends the same request.
+     *
+     * @param workspace the name of the workspace, empty if the request has none
+     * @return the fingerprint as a hexadecimal number, never null
+     */
+    String fingerprint(String workspace) {
+        return Long.toHexString(hash(workspace + "\n" + host + "\n" + contentHash));
+    }
+
     private static long hash(String part) {
         byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
         return bytes.length == 0 ? 0 : MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0];
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -76,7 +76,12 @@
             CallerExchange exchange,
             Route route,
             @Nullable Workspace workspace,
-            long configVersion) {}
+            long configVersion) {
+        /** Gets the fingerprint that the request shares with its repeats. */
+        String fingerprint() {
+            return request.fingerprint(workspace == null ? "" : workspace.name());
+        }
+    }
 
     RelayTask(
             RelayContext context,
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
@@ -74,6 +74,8 @@
                 routedRequest.workspace() == null
                         ? null
                         : routedRequest.workspace().name(),
+                "fingerprint",
+                routedRequest.fingerprint(),
                 "config",
                 routedRequest.configVersion(),
                 "outcome",
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -264,7 +264,8 @@
                 remainingMillis,
                 List.of("session" + random.nextInt(160), "own" + nextId),
                 pieces,
-                "key");
+                "key",
+                nextId);
         CallerExchange exchange = new CallerExchange() {
             @Override
             public void refuse(Refusal refusal) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -181,7 +181,8 @@
                 deadlineMillis,
                 List.of("root", "session", "own"),
                 List.of(pieceCounts),
-                "piece-key");
+                "piece-key",
+                nextId);
         instance.onRequest(request, exchange);
         return exchange;
     }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestPromptPartCrashesOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestPromptPartCrashesOfFleet.java
@@ -86,7 +86,8 @@
                                 4_000,
                                 parts,
                                 List.of(),
-                                null),
+                                null,
+                                requests),
                         exchange);
         return exchange;
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerServer.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerServer.java
@@ -169,7 +169,7 @@
     }
 
     void onRequest(HttpCallerExchange exchange) {
-        RelayRequest request = RequestHeadReader.read(exchange.getHead(), names);
+        RelayRequest request = RequestHeadReader.read(exchange.getHead(), exchange.getBody(), names);
         decisionLoop.execute(() -> instance.onRequest(request, exchange));
     }
 
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/HttpCallerExchange.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/HttpCallerExchange.java
@@ -49,6 +49,11 @@
         return head;
     }
 
+    /** Gets the request's body; called on the I/O thread before the response, not to be modified or released. */
+    ByteBuf getBody() {
+        return body;
+    }
+
     /**
      * Checks whether the whole response has been passed to the connection or the caller has disconnected.
      *
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RequestHeadReader.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RequestHeadReader.java
@@ -1,18 +1,22 @@
 package org.fuchsiawharf.relay.edge;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import org.apache.commons.codec.digest.MurmurHash3;
 import org.fuchsiawharf.core.relay.RelayRequest;
 import org.fuchsiawharf.relay.FieldNames;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Reads from the head of a request the properties that routing needs.
+ * Reads from a request the properties that routing needs.
  *
  * <p>A malformed field is treated as absent, since endpoints validate the fields as well. Stateless and thread-safe.
  */
@@ -22,7 +26,7 @@
 
     private RequestHeadReader() {}
 
-    static RelayRequest read(HttpRequest head, FieldNames names) {
+    static RelayRequest read(HttpRequest head, ByteBuf body, FieldNames names) {
         HttpHeaders fields = head.headers();
         return new RelayRequest(
                 getOrEmpty(fields, names.requestId()),
@@ -32,7 +36,15 @@
                 Math.max(0, parseNumber(fields.get(names.deadline()), 0)),
                 parsePromptPartIds(fields.get(names.promptParts())),
                 parsePieceCounts(fields.get(names.pieces())),
-                fields.get(names.pieceKey()));
+                fields.get(names.pieceKey()),
+                hashContent(head, body));
+    }
+
+    private static long hashContent(HttpRequest head, ByteBuf body) {
+        byte[] target = (head.method().name() + " " + head.uri() + "\n").getBytes(StandardCharsets.UTF_8);
+        byte[] content = Arrays.copyOf(target, target.length + body.readableBytes());
+        body.getBytes(body.readerIndex(), content, target.length, body.readableBytes());
+        return MurmurHash3.hash128x64(content, 0, content.length, 0)[0];
     }
 
     /** Gets the id of the last event that the caller has received, -1 if there is none. */
