Add failing tests of one request that crashes each endpoint and comes again

Nine instances and six engines, three endpoints without prompt parts, two that restart under their names, and 95 instances with 37 engines. One request comes 2.5 times a second.

--- a/core/src/test/java/org/fuchsiawharf/core/relay/CrashingEngines.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/CrashingEngines.java
@@ -14,9 +14,10 @@
 import org.fuchsiawharf.core.time.TimerService;
 
 /**
- * Engines that crash when they begin to answer a request with a certain prompt part, and restart under a new name.
+ * Endpoints that crash when they begin to answer a request with a certain prompt part, and restart.
  *
- * <p>All calls to an engine are lost when it crashes. Confined to the test's thread.
+ * <p>All calls to an engine are lost when it crashes. A restarted engine has a new name, or its old name and a new
+ * incarnation. Confined to the test's thread.
  */
 final class CrashingEngines implements EndpointCalls {
     static final String CRASHING_PART = "crash";
@@ -34,9 +35,12 @@
     final Set<CallerExchange> begun = new HashSet<>();
 
     private final TimerService timers;
+    private final String service;
+    private final boolean keepsNames;
     private final SplittableRandom random;
     private final Map<CallerExchange, List<String>> parts = new IdentityHashMap<>();
     private final String[] names;
+    private final long[] incarnations;
     private final List<Running> running = new ArrayList<>();
     private final Set<String> down = new HashSet<>();
     private int starts = 1;
@@ -45,12 +49,14 @@
     private final class Running implements Call {
         private final String engine;
         private final CallerExchange exchange;
+        private final boolean stream;
         private final Listener listener;
         private boolean open = true;
 
-        private Running(String engine, CallerExchange exchange, Listener listener) {
+        private Running(String engine, CallerExchange exchange, boolean stream, Listener listener) {
             this.engine = engine;
             this.exchange = exchange;
+            this.stream = stream;
             this.listener = listener;
         }
 
@@ -76,7 +82,9 @@
                 return;
             }
             begun.add(exchange);
-            listener.onStreamStarted();
+            if (stream) {
+                listener.onStreamStarted();
+            }
             if (parts.getOrDefault(exchange, List.of()).contains(CRASHING_PART)) {
                 after(CRASH_MILLIS, this::crash);
             } else {
@@ -85,8 +93,13 @@
         }
 
         private void complete() {
-            if (end()) {
+            if (!end()) {
+                return;
+            }
+            if (stream) {
                 listener.onStreamEnded(10);
+            } else {
+                listener.onResponse(() -> 200);
             }
         }
 
@@ -99,11 +112,19 @@
     }
 
     CrashingEngines(TimerService timers, int count, long seed) {
+        this(timers, "engine", count, false, seed);
+    }
+
+    CrashingEngines(TimerService timers, String service, int count, boolean keepsNames, long seed) {
         this.timers = timers;
+        this.service = service;
+        this.keepsNames = keepsNames;
         this.random = new SplittableRandom(seed);
         this.names = new String[count];
+        this.incarnations = new long[count];
         for (int i = 0; i < count; i++) {
             names[i] = "g" + i + "-1";
+            incarnations[i] = 1;
         }
     }
 
@@ -120,7 +141,8 @@
     List<EndpointStatus> list() {
         List<EndpointStatus> listing = new ArrayList<>();
         for (int i = 0; i < names.length; i++) {
-            listing.add(new EndpointStatus(new Endpoint(names[i], "engine", "a", "10.0.0." + i, 80), false));
+            Endpoint endpoint = new Endpoint(names[i], service, "a", "10.0.0." + i, 80);
+            listing.add(new EndpointStatus(endpoint, false, incarnations[i]));
         }
         return listing;
     }
@@ -138,14 +160,20 @@
             }
         }
         after(RESTART_MILLIS, () -> {
-            names[index] = "g" + index + "-" + ++starts;
+            starts++;
+            if (keepsNames) {
+                incarnations[index] = starts;
+                down.remove(engine);
+            } else {
+                names[index] = "g" + index + "-" + starts;
+            }
             onListed.run();
         });
     }
 
     @Override
     public Call send(CallerExchange exchange, Endpoint endpoint, Terms terms, Listener listener) {
-        Running call = new Running(endpoint.name(), exchange, listener);
+        Running call = new Running(endpoint.name(), exchange, terms.stream(), listener);
         if (down.contains(endpoint.name()) || !List.of(names).contains(endpoint.name())) {
             after(CONNECT_MILLIS, () -> {
                 if (call.end()) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RecordingExchange.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RecordingExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * A fake exchange that records the responses to a caller.
@@ -17,24 +18,32 @@
 
     final List<Refusal> refusals = new ArrayList<>();
 
+    /** Called with each outcome. */
+    Consumer<String> onOutcome = outcome -> {};
+
     @Override
     public void refuse(Refusal refusal) {
         refusals.add(refusal);
-        outcomes.add(refusal.kind().name());
+        record(refusal.kind().name());
     }
 
     @Override
     public void relay(EndpointResponse response) {
-        outcomes.add(Integer.toString(response.getStatus()));
+        record(Integer.toString(response.getStatus()));
     }
 
     @Override
     public void finishStream() {
-        outcomes.add("stream");
+        record("stream");
     }
 
     @Override
     public void abort() {
-        outcomes.add("broken");
+        record("broken");
+    }
+
+    private void record(String outcome) {
+        outcomes.add(outcome);
+        onOutcome.accept(outcome);
     }
 }
