Quarantine a request under which endpoints crash

Callers saw 502 and broken streams in waves: one request, which came again with the same path, workspace and body, ended every endpoint that began to run it, and took all other calls there with it.

Cause: only prompt parts that several prompts share were suspected. A request without parts left no trace, and one prompt had to be lost at five endpoints, while the answers to others with its shared parts cleared these. An end was booked by the endpoint's name, so that an endpoint which restarts under its name ended once only. Class: the failure of a request is taken for that of its endpoint, for want of an identity of the request.

Change: the quarantine knows two kinds of suspects, a part and a request by its fingerprint, with the same losses, ends, answers, exchange and trials. A request is quarantined after three ended endpoints, unless suspects with more crashes explain them. Endpoints are named with their incarnation, and a new incarnation proves the end of the one before. Trials are three in all, counted over instances, and a quarantine lasts as long as such requests come and ten minutes more. A failed response to a quarantined request is not repeated either.

Why it works: the third crash completes the evidence on every instance within tens of milliseconds, whatever instance and kind of send it came from.

--- a/core/src/main/java/org/fuchsiawharf/core/quarantine/EvidenceExchange.java
+++ b/core/src/main/java/org/fuchsiawharf/core/quarantine/EvidenceExchange.java
@@ -25,13 +25,14 @@
     /** Number of instances to which all evidence is sent at each interval. */
     private static final int REPAIR_FANOUT = 2;
 
-    private final PartQuarantine quarantine;
+    private final CrashQuarantine quarantine;
     private final PeerPort peers;
     private final TimerService timers;
     private final SplittableRandom random;
     private final Set<String> endedEndpoints = new HashSet<>();
     private final List<CrashEvidence.Loss> losses = new ArrayList<>();
-    private final Set<String> soundParts = new HashSet<>();
+    private final Set<Suspect> sound = new HashSet<>();
+    private final List<CrashEvidence.Trial> trials = new ArrayList<>();
     private boolean scheduled;
 
     /**
@@ -42,7 +43,7 @@
      * @param timers the timer service, not null
      * @param random selects instances, not null
      */
-    public EvidenceExchange(PartQuarantine quarantine, PeerPort peers, TimerService timers, SplittableRandom random) {
+    public EvidenceExchange(CrashQuarantine quarantine, PeerPort peers, TimerService timers, SplittableRandom random) {
         this.quarantine = quarantine;
         this.peers = peers;
         this.timers = timers;
@@ -67,7 +68,8 @@
     private void onObserved(CrashEvidence evidence) {
         endedEndpoints.addAll(evidence.endedEndpoints());
         losses.addAll(evidence.losses());
-        soundParts.addAll(evidence.soundParts());
+        sound.addAll(evidence.sound());
+        trials.addAll(evidence.trials());
         if (!scheduled) {
             scheduled = true;
             timers.schedule(timers.now() + BATCHING_DELAY_NANOS, this::send);
@@ -76,10 +78,11 @@
 
     private void send() {
         scheduled = false;
-        PeerMessage message = new PeerMessage.ShareEvidence(new CrashEvidence(endedEndpoints, losses, soundParts));
+        PeerMessage message = new PeerMessage.ShareEvidence(new CrashEvidence(endedEndpoints, losses, sound, trials));
         endedEndpoints.clear();
         losses.clear();
-        soundParts.clear();
+        sound.clear();
+        trials.clear();
         peers.getConnectedPeers().forEach(peer -> peers.send(peer, message));
     }
 
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -1,7 +1,7 @@
 package org.fuchsiawharf.core.relay;
 
 import org.fuchsiawharf.core.port.CallFailure;
-import org.fuchsiawharf.core.quarantine.PartQuarantine;
+import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.routing.EndpointState;
 import org.fuchsiawharf.core.routing.ServicePool;
 import org.fuchsiawharf.core.time.TimerService;
@@ -99,8 +99,8 @@
     private void finish(String result) {
         ended = true;
         endpoint.onEnded();
-        if (hasSoundPrompt()) {
-            context.quarantine().onSound(routedRequest.request().sharedParts());
+        if (isSound()) {
+            context.quarantine().onSound(routedRequest.suspects());
         }
         if (silenceTimer != null) {
             silenceTimer.cancel();
@@ -109,8 +109,8 @@
                 endpoint.getEndpoint().name() + ":" + result + ":" + elapsedNanos() / NANOS_PER_MILLI + "ms");
     }
 
-    private boolean hasSoundPrompt() {
-        return firstEventForwarded && timers.now() - firstEventNanos > PartQuarantine.SOUND_STREAM_NANOS;
+    private boolean isSound() {
+        return firstEventForwarded && timers.now() - firstEventNanos > CrashQuarantine.SOUND_STREAM_NANOS;
     }
 
     private long elapsedNanos() {
@@ -179,19 +179,16 @@
     }
 
     private void onAnswered() {
-        context.quarantine()
-                .onAnswered(
-                        routedRequest.request().sharedParts(),
-                        endpoint.getEndpoint().name());
+        context.quarantine().onAnswered(routedRequest.suspects(), endpoint.getProcess());
     }
 
     private void reportCrash(CallFailure failure) {
-        RelayRequest request = routedRequest.request();
-        String name = endpoint.getEndpoint().name();
-        if (failure == CallFailure.LOST && !hasSoundPrompt()) {
-            context.quarantine().onLost(request.sharedParts(), request.ownPartHash(), name);
+        String process = endpoint.getProcess();
+        if (failure == CallFailure.LOST && !isSound()) {
+            long prompt = routedRequest.request().ownPartHash();
+            context.quarantine().onLost(routedRequest.suspects(), prompt, process);
         } else if (failure == CallFailure.NOT_SENT || failure == CallFailure.LEAVING) {
-            context.quarantine().onEnded(name);
+            context.quarantine().onEnded(process);
         }
     }
 
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
@@ -8,7 +8,7 @@
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.log.Meters;
 import org.fuchsiawharf.core.pieces.StagePools;
-import org.fuchsiawharf.core.quarantine.PartQuarantine;
+import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.routing.EndpointSelector;
 import org.fuchsiawharf.core.routing.EndpointTable;
@@ -27,7 +27,7 @@
  * @param budget limits retries
  * @param idleConnections limits the idle connections to endpoints
  * @param requestShares divides the request limits of endpoints among the instances
- * @param quarantine finds prompt parts under which endpoints crash
+ * @param quarantine finds prompt parts and requests under which endpoints crash
  * @param admission decides which requests are admitted
  * @param timers the timer service
  * @param random the random number generator
@@ -43,7 +43,7 @@
         SharedRetryBudget budget,
         IdleConnectionLimits idleConnections,
         RequestShares requestShares,
-        PartQuarantine quarantine,
+        CrashQuarantine quarantine,
         RequestAdmission admission,
         TimerService timers,
         SplittableRandom random,
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -8,6 +8,7 @@
 
 import org.fuchsiawharf.core.error.ErrorCode;
 import org.fuchsiawharf.core.model.EndpointStatus;
+import org.fuchsiawharf.core.quarantine.Suspect;
 import org.fuchsiawharf.core.route.PieceService;
 import org.fuchsiawharf.core.route.Route;
 import org.fuchsiawharf.core.route.RoutingConfig;
@@ -24,8 +25,8 @@
  * the connection before. Confined to the decision loop.
  */
 public final class RelayInstance {
-    /** Reason given to callers whose prompt has a quarantined part. */
-    static final String QUARANTINE_DETAIL = "endpoints crashed under a part of the prompt";
+    /** Reason given to callers whose request or part of a prompt is quarantined. */
+    static final String QUARANTINE_DETAIL = "endpoints crashed under the request or a part of its prompt";
 
     /** Retry delay while no configuration is available; the store usually responds again within about a second. */
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
@@ -50,6 +51,7 @@
         this.forecast = new StageForecast(this::findPieceService, context.pools()::getBacklog);
         context.requestShares().setStageOwners(context.pools()::rankOwners);
         context.quarantine().setQuarantineListener(this::onQuarantined);
+        context.table().setReplacementListener(context.quarantine()::onReplaced);
     }
 
     // -----------------------------------------------------------------------
@@ -224,8 +226,19 @@
                             Refusal.Kind.NO_WORKSPACE, ErrorCode.UNKNOWN_WORKSPACE, "no workspace holds the key", 0));
             return;
         }
-        String quarantined = context.quarantine().findQuarantined(request.sharedParts());
+        RelayTask.RoutedRequest routedRequest =
+                RelayTask.RoutedRequest.of(request, exchange, route, workspace, current.getVersion());
+        Suspect quarantined = context.quarantine().findQuarantined(routedRequest.suspects());
         if (quarantined != null) {
+            context.log()
+                    .write(
+                            "quarantine.refused",
+                            "request",
+                            request.id(),
+                            "kind",
+                            quarantined.kind().getWireName(),
+                            "id",
+                            quarantined.id());
             reject(
                     request,
                     exchange,
@@ -236,8 +249,6 @@
                             context.quarantine().getRetryMillis(quarantined)));
             return;
         }
-        RelayTask.RoutedRequest routedRequest =
-                new RelayTask.RoutedRequest(request, exchange, route, workspace, current.getVersion());
         RelayTask task = new RelayTask(
                 context,
                 forecast,
@@ -270,8 +281,8 @@
         List.copyOf(tasks.values()).forEach(RelayTask::onStopping);
     }
 
-    private void onQuarantined(String part) {
-        List.copyOf(tasks.values()).forEach(task -> task.onQuarantined(part));
+    private void onQuarantined(Suspect suspect) {
+        List.copyOf(tasks.values()).forEach(task -> task.onQuarantined(suspect));
     }
 
     private void reject(RelayRequest request, CallerExchange exchange, Refusal refusal) {
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -6,6 +6,7 @@
 import org.fuchsiawharf.core.error.ErrorCode;
 import org.fuchsiawharf.core.pieces.PieceResult;
 import org.fuchsiawharf.core.port.CallFailure;
+import org.fuchsiawharf.core.quarantine.Suspect;
 import org.fuchsiawharf.core.route.Route;
 import org.fuchsiawharf.core.route.Workspace;
 import org.fuchsiawharf.core.routing.EndpointState;
@@ -70,16 +71,28 @@
      * @param route the route of the request
      * @param workspace the workspace of the caller, null if the request has none
      * @param configVersion the version of the configuration by which the request is routed
+     * @param fingerprint the fingerprint that the request shares with its repeats
+     * @param suspects what the request shares with others that may crash endpoints
      */
     record RoutedRequest(
             RelayRequest request,
             CallerExchange exchange,
             Route route,
             @Nullable Workspace workspace,
-            long configVersion) {
-        /** Gets the fingerprint that the request shares with its repeats. */
-        String fingerprint() {
-            return request.fingerprint(workspace == null ? "" : workspace.name());
+            long configVersion,
+            String fingerprint,
+            List<Suspect> suspects) {
+        static RoutedRequest of(
+                RelayRequest request,
+                CallerExchange exchange,
+                Route route,
+                @Nullable Workspace workspace,
+                long configVersion) {
+            String fingerprint = request.fingerprint(workspace == null ? "" : workspace.name());
+            List<Suspect> suspects = new ArrayList<>();
+            request.sharedParts().forEach(part -> suspects.add(Suspect.ofPart(part)));
+            suspects.add(Suspect.ofRequest(fingerprint));
+            return new RoutedRequest(request, exchange, route, workspace, configVersion, fingerprint, suspects);
         }
     }
 
@@ -215,18 +228,18 @@
         fail(ErrorCode.SHUTTING_DOWN, "this instance stops", EndpointChoice.NO_ENDPOINT_RETRY_MILLIS);
     }
 
-    /** Ends the request, unless its response has begun, if its prompt has a part that is now quarantined. */
-    void onQuarantined(String part) {
-        if (!streamStarted && routedRequest.request().sharedParts().contains(part)) {
-            failQuarantined(part);
+    /** Ends the request, unless its response has begun, if it has a suspect that is now quarantined. */
+    void onQuarantined(Suspect suspect) {
+        if (!streamStarted && routedRequest.suspects().contains(suspect)) {
+            failQuarantined(suspect);
         }
     }
 
-    private void failQuarantined(String part) {
+    private void failQuarantined(Suspect suspect) {
         fail(
                 ErrorCode.QUARANTINED,
                 RelayInstance.QUARANTINE_DETAIL,
-                context.quarantine().getRetryMillis(part));
+                context.quarantine().getRetryMillis(suspect));
     }
 
     /** Ends the request because its caller closed the connection. */
@@ -272,10 +285,9 @@
     }
 
     private void retryOrFail(CallFailure failure, EndpointState failedEndpoint) {
-        String part =
-                context.quarantine().getQuarantined(routedRequest.request().sharedParts());
-        if (part != null) {
-            failQuarantined(part);
+        Suspect suspect = findQuarantined();
+        if (suspect != null) {
+            failQuarantined(suspect);
             return;
         }
         avoidedEndpoint = failedEndpoint;
@@ -301,6 +313,10 @@
         }
     }
 
+    private @Nullable Suspect findQuarantined() {
+        return context.quarantine().getQuarantined(routedRequest.suspects());
+    }
+
     private void restartStages() {
         EndpointState endpoint = choice.select(avoidedEndpoint);
         if (endpoint == null) {
@@ -399,7 +415,8 @@
     @Override
     public boolean mayTryAnotherEndpoint() {
         return routedRequest.route().kind().isRepeatable()
-                && attemptsWithPossibleEffect < routedRequest.route().maxAttempts();
+                && attemptsWithPossibleEffect < routedRequest.route().maxAttempts()
+                && findQuarantined() == null;
     }
 
     @Override
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
@@ -2,6 +2,7 @@
 
 import org.fuchsiawharf.core.limits.ConcurrencyLimit;
 import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.core.model.EndpointStatus;
 
 /**
  * The state of one endpoint as seen by one instance.
@@ -22,6 +23,7 @@
     private static final double MAX_NOISE_RATIO = 1.6;
 
     private final Endpoint endpoint;
+    private final String process;
     private final boolean ownZone;
     private final ConcurrencyLimit limit;
     private final LatencyEstimate serviceTime;
@@ -45,29 +47,22 @@
     private boolean probing;
 
     /**
-     * Creates the state of an endpoint without any observations.
+     * Creates the state of an endpoint.
      *
-     * @param endpoint the endpoint, not null
-     * @param ownZone whether the endpoint runs in the instance's availability zone
-     * @param limit the limit on this instance's calls in flight, not null
-     * @param priorNanos the assumed time of a call before the first sample, in nanoseconds
-     */
-    public EndpointState(Endpoint endpoint, boolean ownZone, ConcurrencyLimit limit, double priorNanos) {
-        this(endpoint, ownZone, limit, priorNanos, new EndpointNotices());
-    }
-
-    /**
-     * Creates the state of an endpoint that has given notices before.
-     *
-     * @param endpoint the endpoint, not null
+     * @param status the endpoint as listed first, not null
      * @param ownZone whether the endpoint runs in the instance's availability zone
      * @param limit the limit on this instance's calls in flight, not null
      * @param priorNanos the assumed time of a call before the first sample, in nanoseconds
      * @param notices what this incarnation of the endpoint has stated so far, not null
      */
     EndpointState(
-            Endpoint endpoint, boolean ownZone, ConcurrencyLimit limit, double priorNanos, EndpointNotices notices) {
-        this.endpoint = endpoint;
+            EndpointStatus status,
+            boolean ownZone,
+            ConcurrencyLimit limit,
+            double priorNanos,
+            EndpointNotices notices) {
+        this.endpoint = status.endpoint();
+        this.process = status.incarnation() == 0 ? endpoint.name() : endpoint.name() + "/" + status.incarnation();
         this.notices = notices;
         this.ownZone = ownZone;
         this.limit = limit;
@@ -85,6 +80,15 @@
         return endpoint;
     }
 
+    /**
+     * Gets the name of the endpoint and its incarnation, which distinguishes it from those that had the name before.
+     *
+     * @return the name, a slash and the incarnation; the name alone if the directory lists no incarnation; never null
+     */
+    public String getProcess() {
+        return process;
+    }
+
     /**
      * Checks whether the endpoint runs in the instance's availability zone.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.fuchsiawharf.core.limits.ConcurrencyLimit;
@@ -32,6 +33,7 @@
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, ServicePool> pools = new HashMap<>();
     private final Map<String, AbsentNotices> absentNotices = new LinkedHashMap<>();
+    private Consumer<String> onReplaced = process -> {};
 
     private record AbsentNotices(long incarnation, EndpointNotices notices) {}
 
@@ -46,6 +48,15 @@
         this.limitFactory = limitFactory;
     }
 
+    /**
+     * Sets the listener for endpoints that have restarted under their names.
+     *
+     * @param listener receives the previous incarnation, see {@link EndpointState#getProcess}, not null
+     */
+    public void setReplacementListener(Consumer<String> listener) {
+        onReplaced = listener;
+    }
+
     /**
      * Gets the state of an endpoint.
      *
@@ -117,7 +128,10 @@
         if (state == null || restarted || !state.getEndpoint().equals(status.endpoint())) {
             boolean ownZone = status.endpoint().zone().equals(zone);
             EndpointNotices notices = takeNotices(status, restarted ? null : state);
-            state = new EndpointState(status.endpoint(), ownZone, limitFactory.get(), PRIOR_CALL_NANOS, notices);
+            if (restarted && state != null) {
+                onReplaced.accept(state.getProcess());
+            }
+            state = new EndpointState(status, ownZone, limitFactory.get(), PRIOR_CALL_NANOS, notices);
             byName.put(name, state);
             incarnations.put(name, status.incarnation());
             changed.add(status.endpoint().service());
--- a/core/src/test/java/org/fuchsiawharf/core/relay/EvidenceNetwork.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/EvidenceNetwork.java
@@ -9,8 +9,8 @@
 import org.fuchsiawharf.core.member.Member;
 import org.fuchsiawharf.core.member.PeerMessage;
 import org.fuchsiawharf.core.member.PeerPort;
+import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.quarantine.EvidenceExchange;
-import org.fuchsiawharf.core.quarantine.PartQuarantine;
 import org.fuchsiawharf.core.time.TimerService;
 
 /**
@@ -29,7 +29,7 @@
     }
 
     /** Connects an instance with all others; replaces the instance of that name if it has restarted. */
-    void connect(String name, PartQuarantine quarantine) {
+    void connect(String name, CrashQuarantine quarantine) {
         EvidenceExchange exchange =
                 new EvidenceExchange(quarantine, new Port(name), timers, new SplittableRandom(name.hashCode()));
         exchanges.put(name, exchange);
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -29,7 +29,7 @@
 import org.fuchsiawharf.core.model.EndpointStatus;
 import org.fuchsiawharf.core.pieces.PoolContext;
 import org.fuchsiawharf.core.pieces.StagePools;
-import org.fuchsiawharf.core.quarantine.PartQuarantine;
+import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.route.CallerLimits;
 import org.fuchsiawharf.core.route.PieceService;
@@ -358,7 +358,7 @@
                 budget,
                 new IdleConnectionLimits(() -> 1),
                 new RequestShares(members, instanceRandom),
-                new PartQuarantine(timers, part -> false, log),
+                new CrashQuarantine(timers, part -> false, log),
                 admission,
                 timers,
                 instanceRandom,
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -19,7 +19,7 @@
 import org.fuchsiawharf.core.pieces.FakePieceCalls;
 import org.fuchsiawharf.core.pieces.PoolContext;
 import org.fuchsiawharf.core.pieces.StagePools;
-import org.fuchsiawharf.core.quarantine.PartQuarantine;
+import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.route.CallerLimits;
 import org.fuchsiawharf.core.route.PieceService;
@@ -50,7 +50,7 @@
     final TimerService timers;
     final FakeEndpointCalls calls = new FakeEndpointCalls();
     final FakePieceCalls pieces = new FakePieceCalls();
-    final PartQuarantine quarantine;
+    final CrashQuarantine quarantine;
     final RelayInstance instance;
     final List<String> loggedEvents = new ArrayList<>();
     private final SharedRetryBudget budget;
@@ -81,8 +81,8 @@
         StagePools pools = new StagePools(
                 members, PeerPort.NONE, new PoolContext(table, health, pieces, timers, budget, log, Meters.NONE));
         SplittableRandom random = new SplittableRandom(self.name().hashCode());
-        quarantine = new PartQuarantine(
-                timers, part -> members.rankOwners(part).get(0).equals(self), log);
+        quarantine =
+                new CrashQuarantine(timers, id -> members.rankOwners(id).get(0).equals(self), log);
         instance = new RelayInstance(new RelayContext(
                 table,
                 new ExpectedCompletionSelector(random, 2e6, 150e6),
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestPromptPartCrashesOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestPromptPartCrashesOfFleet.java
@@ -153,7 +153,7 @@
         }
         long quarantines = fleet.stream()
                 .flatMap(i -> i.loggedEvents.stream())
-                .filter("part.quarantined"::equals)
+                .filter("quarantine.added"::equals)
                 .count();
         assertThat(quarantines, is(0L));
     }
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -3,13 +3,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import com.google.protobuf.ByteString;
 import org.fuchsiawharf.core.member.PeerMessage;
 import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.pieces.StageBacklog;
-import org.fuchsiawharf.core.quarantine.CrashEvidence;
 import org.fuchsiawharf.core.store.StoreItem;
 import org.fuchsiawharf.core.time.Clock;
 import org.fuchsiawharf.peer.generated.PeerProto;
@@ -65,7 +63,7 @@
         } else if (message instanceof PeerMessage.StoreChanges changes) {
             frame.setChanges(encodeChanges(changes));
         } else if (message instanceof PeerMessage.ShareEvidence evidence) {
-            frame.setEvidence(encodeEvidence(evidence.evidence()));
+            frame.setEvidence(EvidenceCodec.encode(evidence.evidence()));
         }
         return frame.build();
     }
@@ -94,7 +92,7 @@
                 new PeerMessage.AskState(
                         frame.getAskState().getRevision(), frame.getAskState().getFollow());
             case CHANGES -> decodeChanges(frame.getChanges());
-            case EVIDENCE -> decodeEvidence(frame.getEvidence());
+            case EVIDENCE -> EvidenceCodec.decode(frame.getEvidence());
             case HELLO, KIND_NOT_SET -> null;
         };
     }
@@ -165,26 +163,4 @@
         return new PeerMessage.StoreChanges(
                 message.getAfter(), message.getRevision(), changes, message.getAfterOutage(), message.getCatchUp());
     }
-
-    private static PeerProto.ShareEvidence.Builder encodeEvidence(CrashEvidence evidence) {
-        PeerProto.ShareEvidence.Builder builder = PeerProto.ShareEvidence.newBuilder()
-                .addAllEndedEndpoints(evidence.endedEndpoints())
-                .addAllSoundParts(evidence.soundParts());
-        evidence.losses()
-                .forEach(loss -> builder.addLosses(PeerProto.LostPart.newBuilder()
-                        .setPart(loss.part())
-                        .setEndpoint(loss.endpoint())
-                        .setPrompt(loss.prompt())
-                        .setAgeMillis(loss.ageMillis())));
-        return builder;
-    }
-
-    private static PeerMessage decodeEvidence(PeerProto.ShareEvidence message) {
-        List<CrashEvidence.Loss> losses = message.getLossesList().stream()
-                .map(loss -> new CrashEvidence.Loss(
-                        loss.getPart(), loss.getEndpoint(), loss.getPrompt(), Math.max(0, loss.getAgeMillis())))
-                .toList();
-        return new PeerMessage.ShareEvidence(new CrashEvidence(
-                Set.copyOf(message.getEndedEndpointsList()), losses, Set.copyOf(message.getSoundPartsList())));
-    }
 }
--- a/peer/src/test/java/org/fuchsiawharf/peer/TestPeerCodec.java
+++ b/peer/src/test/java/org/fuchsiawharf/peer/TestPeerCodec.java
@@ -14,6 +14,7 @@
 import org.fuchsiawharf.core.pieces.PieceTerms;
 import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.quarantine.CrashEvidence;
+import org.fuchsiawharf.core.quarantine.Suspect;
 import org.fuchsiawharf.peer.generated.PeerProto;
 import org.junit.jupiter.api.Test;
 
@@ -149,8 +150,14 @@
     void evidenceOfCrashesIsReadAsWritten() {
         PeerMessage message = new PeerMessage.ShareEvidence(new CrashEvidence(
                 Set.of("e1", "e2"),
-                List.of(new CrashEvidence.Loss("part", "e1", -7, 300), new CrashEvidence.Loss("part", "e2", 9, 0)),
-                Set.of("sound")));
+                List.of(
+                        new CrashEvidence.Loss(Suspect.ofPart("part"), "e1", -7, 300),
+                        new CrashEvidence.Loss(Suspect.ofPart("part"), "e2", 9, 0),
+                        new CrashEvidence.Loss(Suspect.ofRequest("request"), "e2", 0, 5)),
+                Set.of(Suspect.ofPart("sound"), Suspect.ofRequest("sound")),
+                List.of(
+                        new CrashEvidence.Trial(Suspect.ofPart("part"), 1, 20),
+                        new CrashEvidence.Trial(Suspect.ofRequest("request"), 2, 0))));
         assertThat(codec.decode(codec.encode(message, PieceCodec.GROUPS_VERSION)), is(message));
     }
 
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -21,8 +21,8 @@
 import org.fuchsiawharf.core.pieces.PieceCalls;
 import org.fuchsiawharf.core.pieces.PoolContext;
 import org.fuchsiawharf.core.pieces.StagePools;
+import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.quarantine.EvidenceExchange;
-import org.fuchsiawharf.core.quarantine.PartQuarantine;
 import org.fuchsiawharf.core.relay.ObjectiveAdmission;
 import org.fuchsiawharf.core.relay.RelayContext;
 import org.fuchsiawharf.core.relay.RelayInstance;
@@ -123,8 +123,8 @@
                 members,
                 peers,
                 new PoolContext(table, ejection, pieceCalls.apply(this), timers, retryBudget, log, meters));
-        PartQuarantine quarantine = new PartQuarantine(
-                timers, part -> members.rankOwners(part).get(0).equals(self), log);
+        CrashQuarantine quarantine =
+                new CrashQuarantine(timers, id -> members.rankOwners(id).get(0).equals(self), log);
         this.evidenceExchange = new EvidenceExchange(quarantine, peers, timers, random);
         RelayedCalls calls = new RelayedCalls(ioThread, client, names, loop, log, noticeReader);
         this.instance = new RelayInstance(new RelayContext(
