--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -32,7 +32,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final RelayContext context;
-    private final RelayTask.RoutedRequest routedRequest;
+    private final RoutedRequest routedRequest;
     private final EndpointState endpoint;
     private final ServicePool pool;
     private final Callbacks callbacks;
@@ -65,8 +65,7 @@
         void onFailure(CallFailure failure, EndpointState endpoint);
     }
 
-    EndpointAttempt(
-            RelayContext context, RelayTask.RoutedRequest routedRequest, EndpointState endpoint, Callbacks callbacks) {
+    EndpointAttempt(RelayContext context, RoutedRequest routedRequest, EndpointState endpoint, Callbacks callbacks) {
         this.context = context;
         this.routedRequest = routedRequest;
         this.endpoint = endpoint;
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -226,8 +226,7 @@
                             Refusal.Kind.NO_WORKSPACE, ErrorCode.UNKNOWN_WORKSPACE, "no workspace holds the key", 0));
             return;
         }
-        RelayTask.RoutedRequest routedRequest =
-                RelayTask.RoutedRequest.of(request, exchange, route, workspace, current.getVersion());
+        RoutedRequest routedRequest = RoutedRequest.of(request, exchange, route, workspace, current.getVersion());
         Suspect quarantined = context.quarantine().findQuarantined(routedRequest.suspects());
         if (quarantined != null) {
             context.log()
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
@@ -36,7 +36,7 @@
 
     static void writeAdmission(
             DecisionLog log,
-            RelayTask.RoutedRequest routedRequest,
+            RoutedRequest routedRequest,
             int rank,
             RequestAdmission.RequestEstimate estimate,
             RequestAdmission.Decision decision,
@@ -63,7 +63,7 @@
                 backlogStalenessNanos / NANOS_PER_MILLI);
     }
 
-    static void writeEnding(DecisionLog log, RelayTask.RoutedRequest routedRequest, Ending ending) {
+    static void writeEnding(DecisionLog log, RoutedRequest routedRequest, Ending ending) {
         log.write(
                 "request.ended",
                 "request",
