Decode the software version of endpoints and the stream that a caller takes up

No line of the log named a version or the request that began a stream, so that a stream joined from two versions could not be told from a sound one. stream.begun names endpoint, version and what is taken up; call.failed names the version. No decision uses them yet.

--- a/core/src/main/java/org/fuchsiawharf/core/model/EndpointStatus.java
+++ b/core/src/main/java/org/fuchsiawharf/core/model/EndpointStatus.java
@@ -8,8 +8,20 @@
  * @param endpoint the endpoint, not null
  * @param leaving whether the endpoint is leaving and must receive no new work
  * @param incarnation the number that distinguishes restarts of an endpoint of the same name, 0 if not listed
+ * @param version the version of the software of this incarnation, empty if not listed
  */
-public record EndpointStatus(Endpoint endpoint, boolean leaving, long incarnation) {
+public record EndpointStatus(Endpoint endpoint, boolean leaving, long incarnation, String version) {
+    /**
+     * Creates a status without a software version.
+     *
+     * @param endpoint the endpoint, not null
+     * @param leaving whether the endpoint is leaving and must receive no new work
+     * @param incarnation the number that distinguishes restarts of an endpoint of the same name, 0 if not listed
+     */
+    public EndpointStatus(Endpoint endpoint, boolean leaving, long incarnation) {
+        this(endpoint, leaving, incarnation, "");
+    }
+
     /**
      * Creates a status without an incarnation.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -147,6 +147,7 @@
         if (!ended) {
             firstEventForwarded = true;
             firstEventNanos = timers.now();
+            RequestDecisionLog.writeStreamBegun(context.log(), routedRequest, endpoint);
             callbacks.onFirstEvent(elapsedNanos());
         }
     }
@@ -209,6 +210,8 @@
                         failure.getWireName(),
                         "detail",
                         detail,
+                        "version",
+                        endpoint.getVersion(),
                         "took_ms",
                         elapsedNanos() / NANOS_PER_MILLI,
                         "endpoint_in_flight",
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayRequest.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayRequest.java
@@ -20,6 +20,7 @@
  * @param pieces the number of pieces of each stage
  * @param pieceKey the key of the pieces, null if the request has none
  * @param contentHash the hash of the method, the target and the body
+ * @param takeUp the stream that the request takes up, null if it begins a new response
  */
 public record RelayRequest(
         String id,
@@ -30,7 +31,16 @@
         List<String> promptParts,
         List<Integer> pieces,
         @Nullable String pieceKey,
-        long contentHash) {
+        long contentHash,
+        @Nullable TakeUp takeUp) {
+    /**
+     * A stream that a caller takes up after its response has been broken off.
+     *
+     * @param firstRequest the id of the request whose response brought the first event, empty if the caller names none
+     * @param lastEventId the id of the last event that the caller has received
+     */
+    public record TakeUp(String firstRequest, long lastEventId) {}
+
     /** Copies the lists. */
     public RelayRequest {
         promptParts = List.copyOf(promptParts);
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.fuchsiawharf.core.log.DecisionLog;
+import org.fuchsiawharf.core.routing.EndpointState;
 
 /**
  * Writes the log events for the admission and the end of requests.
@@ -63,6 +64,22 @@
                 backlogStalenessNanos / NANOS_PER_MILLI);
     }
 
+    static void writeStreamBegun(DecisionLog log, RoutedRequest routedRequest, EndpointState endpoint) {
+        RelayRequest.TakeUp takeUp = routedRequest.request().takeUp();
+        log.write(
+                "stream.begun",
+                "request",
+                routedRequest.request().id(),
+                "endpoint",
+                endpoint.getEndpoint().name(),
+                "version",
+                endpoint.getVersion(),
+                "takes_up",
+                takeUp == null ? null : takeUp.firstRequest(),
+                "after_event",
+                takeUp == null ? null : takeUp.lastEventId());
+    }
+
     static void writeEnding(DecisionLog log, RoutedRequest routedRequest, Ending ending) {
         log.write(
                 "request.ended",
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
@@ -24,6 +24,7 @@
 
     private final Endpoint endpoint;
     private final String process;
+    private final String version;
     private final boolean ownZone;
     private final ConcurrencyLimit limit;
     private final LatencyEstimate serviceTime;
@@ -62,6 +63,7 @@
             double priorNanos,
             EndpointNotices notices) {
         this.endpoint = status.endpoint();
+        this.version = status.version();
         this.process = status.incarnation() == 0 ? endpoint.name() : endpoint.name() + "/" + status.incarnation();
         this.notices = notices;
         this.ownZone = ownZone;
@@ -89,6 +91,15 @@
         return process;
     }
 
+    /**
+     * Gets the version of the endpoint's software.
+     *
+     * @return the version, empty if the directory lists none, never null
+     */
+    public String getVersion() {
+        return version;
+    }
+
     /**
      * Checks whether the endpoint runs in the instance's availability zone.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
@@ -125,7 +125,10 @@
         String name = status.endpoint().name();
         EndpointState state = byName.get(name);
         boolean restarted = status.incarnation() != incarnations.getOrDefault(name, status.incarnation());
-        if (state == null || restarted || !state.getEndpoint().equals(status.endpoint())) {
+        if (state == null
+                || restarted
+                || !state.getEndpoint().equals(status.endpoint())
+                || !state.getVersion().equals(status.version())) {
             boolean ownZone = status.endpoint().zone().equals(zone);
             EndpointNotices notices = takeNotices(status, restarted ? null : state);
             if (restarted && state != null) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -265,7 +265,8 @@
                 List.of("session" + random.nextInt(160), "own" + nextId),
                 pieces,
                 "key",
-                nextId);
+                nextId,
+                null);
         CallerExchange exchange = new CallerExchange() {
             @Override
             public void refuse(Refusal refusal) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -182,7 +182,8 @@
                 List.of("root", "session", "own"),
                 List.of(pieceCounts),
                 "piece-key",
-                nextId);
+                nextId,
+                null);
         instance.onRequest(request, exchange);
         return exchange;
     }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestPromptPartCrashesOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestPromptPartCrashesOfFleet.java
@@ -87,7 +87,8 @@
                                 parts,
                                 List.of(),
                                 null,
-                                requests),
+                                requests,
+                                null),
                         exchange);
         return exchange;
     }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestRepeatedRequestCrashesOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestRepeatedRequestCrashesOfFleet.java
@@ -101,7 +101,8 @@
                 parts,
                 List.of(),
                 null,
-                content);
+                content,
+                null);
         fleet.get(random.nextInt(fleet.size())).instance.onRequest(request, exchange);
         return exchange;
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/FieldNames.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/FieldNames.java
@@ -8,6 +8,7 @@
  * <p>Names are in lower case. Immutable and thread-safe.
  *
  * @param requestId the id that the caller gave the request, on requests and responses
+ * @param resumedRequest the id of the request whose response brought the first event of a stream that is taken up
  * @param deadline the time left until the deadline, in milliseconds
  * @param workspaceKey the key that identifies the caller's workspace
  * @param workspace the name of the workspace, on requests to endpoints
@@ -28,6 +29,7 @@
  */
 public record FieldNames(
         String requestId,
+        String resumedRequest,
         String deadline,
         String workspaceKey,
         String workspace,
@@ -48,6 +50,7 @@
     /** The default header field names. */
     public static final FieldNames DEFAULT = new FieldNames(
             "wharf-request-id",
+            "wharf-resumes",
             "wharf-deadline-ms",
             "wharf-key",
             "wharf-workspace",
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RequestHeadReader.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RequestHeadReader.java
@@ -37,7 +37,15 @@
                 parsePromptPartIds(fields.get(names.promptParts())),
                 parsePieceCounts(fields.get(names.pieces())),
                 fields.get(names.pieceKey()),
-                hashContent(head, body));
+                hashContent(head, body),
+                readTakeUp(head, names));
+    }
+
+    private static RelayRequest.@Nullable TakeUp readTakeUp(HttpRequest head, FieldNames names) {
+        long lastEventId = readLastEventId(head);
+        return lastEventId < 0
+                ? null
+                : new RelayRequest.TakeUp(getOrEmpty(head.headers(), names.resumedRequest()), lastEventId);
     }
 
     private static long hashContent(HttpRequest head, ByteBuf body) {
