Go on with a broken stream only at the software version that began it

Callers saw streams whose first part was written by one software version and the rest by another, with nothing in the response to show it.

Cause: a stream that breaks within one response was repeated at any endpoint of its service. Class: what an endpoint produces has a narrower identity than the name of its service.

Change: the endpoints of each version are a pool of their own, to which a request is restricted once its first event has been forwarded. Without an endpoint of the version the stream is broken off at once. Events are forwarded on the I/O thread before the decision loop hears of them, so the stream also keeps the version there, and a call to another one is refused before it is sent.

Why it works: all ways on which a response goes on (a repeat, stages made again, the fallback to any listed endpoint) choose from the restricted pool.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -75,6 +75,11 @@
         this.startNanos = timers.now();
     }
 
+    /** Gets the version of the endpoint's software. */
+    String getVersion() {
+        return endpoint.getVersion();
+    }
+
     void begin(EndpointCalls.Terms terms) {
         endpoint.onSent();
         endpoint.getRequestLimit().onSent(timers.now());
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointCalls.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointCalls.java
@@ -33,6 +33,7 @@
      * @param inputs the handles of the results that the request needs, null if its route has no stages
      * @param stream whether the response is an event stream
      * @param repeatable whether the request may be sent again if the call fails
+     * @param version the version of the endpoint's software; a stream goes on only at the version that began it
      * @param maxIdleConnections the number of idle connections to the endpoint that may be kept after the call
      */
     record Terms(
@@ -42,6 +43,7 @@
             @Nullable List<String> inputs,
             boolean stream,
             boolean repeatable,
+            String version,
             int maxIdleConnections) {}
 
     /** A call in flight. */
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
@@ -16,20 +16,31 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final RelayContext context;
-    private final ServicePool pool;
+    private final String service;
     private final long prefixKey;
-    private boolean reserved;
+    private @Nullable String version;
+    private @Nullable ServicePool reservedPool;
 
     EndpointChoice(RelayContext context, String service, long prefixKey) {
         this.context = context;
-        this.pool = context.table().getPool(service);
+        this.service = service;
         this.prefixKey = prefixKey;
     }
 
+    /** Chooses only among the endpoints of a software version from now on. */
+    void restrictTo(String newVersion) {
+        if (!newVersion.equals(version)) {
+            release();
+            version = newVersion;
+        }
+    }
+
     /** Selects an endpoint to which a request may be sent now; null if there is none. */
     @Nullable
-    EndpointState select(@Nullable EndpointState avoided) {
+    EndpointState select(@Nullable EndpointState failed) {
         long now = context.timers().now();
+        ServicePool pool = getPool();
+        EndpointState avoided = failed != null && pool.getEndpoints().contains(failed) ? failed : null;
         context.health().allowProbes(pool, now);
         EndpointState selected = context.selector().select(pool, prefixKey, avoided, now);
         if (selected != null) {
@@ -44,7 +55,7 @@
 
     /** Gets the time from which the request limit of an endpoint permits a request; the maximum if none limits them. */
     long getNextSendNanos() {
-        return pool.getEndpoints().stream()
+        return getPool().getEndpoints().stream()
                 .filter(endpoint -> !endpoint.isLeaving() && isLimited(endpoint))
                 .mapToLong(endpoint -> endpoint.getRequestLimit().getNextSendNanos())
                 .min()
@@ -54,7 +65,7 @@
     /** Gets the retry delay of a request for which there is no endpoint, at least until one that paused accepts again. */
     long getRetryMillis() {
         long now = context.timers().now();
-        long pauseNanos = pool.getEndpoints().stream()
+        long pauseNanos = getPool().getEndpoints().stream()
                 .filter(endpoint -> !endpoint.isLeaving())
                 .mapToLong(endpoint -> Math.max(now, endpoint.getRequestLimit().getPausedUntilNanos()) - now)
                 .min()
@@ -67,19 +78,29 @@
      * stages is sent only after them. Returns false if another request has reserved it.
      */
     boolean reserve() {
+        ServicePool pool = getPool();
         boolean allLimited = pool.getEndpoints().stream().allMatch(e -> e.isLeaving() || isLimited(e));
-        reserved = allLimited && pool.reserveRequest();
-        return reserved || !allLimited;
+        reservedPool = allLimited && pool.reserveRequest() ? pool : null;
+        return reservedPool != null || !allLimited;
     }
 
     /** Releases the reservation, if any. */
     void release() {
-        if (reserved) {
-            reserved = false;
+        ServicePool pool = reservedPool;
+        if (pool != null) {
+            reservedPool = null;
             pool.releaseRequest();
         }
     }
 
+    // The pool of a version is another one after the version was absent from the listing.
+    private ServicePool getPool() {
+        String onlyVersion = version;
+        return onlyVersion == null
+                ? context.table().getPool(service)
+                : context.table().getPool(service, onlyVersion);
+    }
+
     private static boolean isLimited(EndpointState endpoint) {
         return endpoint.getRequestLimit().getPerSecond() > 0;
     }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -241,6 +241,7 @@
                 inputs,
                 routedRequest.route().kind().isStream(),
                 routedRequest.route().kind().isRepeatable(),
+                endpoint.getVersion(),
                 context.idleConnections().getLimit(service)));
     }
 
@@ -392,8 +393,10 @@
 
     @Override
     public void onFirstEvent(long elapsedNanos) {
-        if (!streamStarted) {
+        EndpointAttempt attempt = currentAttempt;
+        if (!streamStarted && attempt != null) {
             streamStarted = true;
+            choice.restrictTo(attempt.getVersion());
             releaseResults();
             statistics.onResponse(elapsedNanos);
             context.meters().time("first_event_seconds", routedRequest.route().name(), timers.now() - arrivedNanos);
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.fuchsiawharf.core.limits.ConcurrencyLimit;
 import org.fuchsiawharf.core.model.EndpointStatus;
@@ -32,6 +33,7 @@
     private final Map<String, EndpointState> byAddress = new HashMap<>();
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, ServicePool> pools = new HashMap<>();
+    private final Map<String, Map<String, ServicePool>> poolsByVersion = new HashMap<>();
     private final Map<String, AbsentNotices> absentNotices = new LinkedHashMap<>();
     private Consumer<String> onReplaced = process -> {};
 
@@ -97,6 +99,18 @@
         return pools.computeIfAbsent(service, ServicePool::new);
     }
 
+    /**
+     * Gets the pool of the endpoints of a service that run one version of its software.
+     *
+     * @param service the name of the service, not null
+     * @param version the version, not null
+     * @return the pool, empty if no endpoint of the version is known, never null
+     */
+    public ServicePool getPool(String service, String version) {
+        ServicePool pool = poolsByVersion.getOrDefault(service, Map.of()).get(version);
+        return pool == null ? new ServicePool(service) : pool;
+    }
+
     /**
      * Applies the directory's listing.
      *
@@ -116,11 +130,25 @@
                 .forEach(state -> byAddress.putIfAbsent(
                         state.getEndpoint().host() + ":" + state.getEndpoint().port(), state));
         for (String service : changed) {
-            getPool(service).setEndpoints(endpointsOf(service));
+            setEndpoints(service, endpointsOf(service));
         }
         return changed;
     }
 
+    private void setEndpoints(String service, List<EndpointState> endpoints) {
+        ServicePool pool = getPool(service);
+        pool.setEndpoints(endpoints);
+        Map<String, List<EndpointState>> byVersion =
+                endpoints.stream().collect(Collectors.groupingBy(EndpointState::getVersion));
+        Map<String, ServicePool> versionPools = poolsByVersion.computeIfAbsent(service, s -> new HashMap<>());
+        versionPools.forEach(
+                (version, versionPool) -> versionPool.setEndpoints(byVersion.getOrDefault(version, List.of())));
+        versionPools.keySet().retainAll(byVersion.keySet());
+        byVersion.forEach((version, states) -> versionPools
+                .computeIfAbsent(version, v -> new ServicePool(pool))
+                .setEndpoints(states));
+    }
+
     private void addOrUpdate(EndpointStatus status, Set<String> changed) {
         String name = status.endpoint().name();
         EndpointState state = byName.get(name);
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
@@ -15,6 +15,7 @@
     private static final int MAX_RING_STEPS = 64;
 
     private final String service;
+    private final ServicePool whole;
     private final List<EndpointState> endpoints = new ArrayList<>();
     private EndpointState[] ownZoneEndpoints = new EndpointState[0];
     private EndpointState[] otherZoneEndpoints = new EndpointState[0];
@@ -32,6 +33,17 @@
      */
     public ServicePool(String service) {
         this.service = service;
+        this.whole = this;
+    }
+
+    /**
+     * Creates an empty pool for some endpoints of a service.
+     *
+     * @param whole the pool of all endpoints of the service, which receives the load reports, not null
+     */
+    ServicePool(ServicePool whole) {
+        this.service = whole.service;
+        this.whole = whole;
     }
 
     /**
@@ -111,7 +123,7 @@
      * @return the smoothed count
      */
     double getMeanOthersInFlight() {
-        return meanOthersInFlight;
+        return whole.meanOthersInFlight;
     }
 
     /**
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -67,6 +67,8 @@
     void start() {
         if (!ended && exchange.isEnded()) {
             onFailed(CallFailure.NOT_SENT, "the caller has left");
+        } else if (!ended && !exchange.getStream().mayContinueAt(terms.version())) {
+            onFailed(CallFailure.REFUSED, "the stream began at another version than " + terms.version());
         } else if (!ended) {
             OpenCall call = calls.getClient().send(calls.buildRequest(exchange, endpoint, terms), this);
             clientCall = call;
@@ -144,7 +146,7 @@
             return;
         }
         exchange.getStream().sendHead(status, copyEndToEndFields(head));
-        StreamRelay.Result result = exchange.getStream().forward(event);
+        StreamRelay.Result result = exchange.getStream().forward(event, terms.version());
         if (result == StreamRelay.Result.GAP) {
             fail(CallFailure.GARBAGE, "the event stream has a gap before event " + event.id());
         } else if (result == StreamRelay.Result.FORWARDED) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/StreamRelay.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/StreamRelay.java
@@ -2,18 +2,20 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Forwards the events of one stream to its caller across several attempts.
  *
  * <p>The caller receives the response head of the first attempt, then each event exactly once, in order of the event
- * ids and without gaps. Duplicates are dropped; a gap fails the attempt. Confined to the I/O thread.
+ * ids and without gaps. Duplicates are dropped; a gap fails the attempt. All events are of one software version. Confined to the I/O thread.
  */
 final class StreamRelay {
     private final CallerConnection connection;
     private long lastId;
     private boolean hasLastId;
     private boolean headSent;
+    private @Nullable String version;
 
     /**
      * Creates a relay.
@@ -27,6 +29,11 @@
         this.lastId = lastReceivedId;
     }
 
+    /** Checks whether an endpoint of a software version may go on with the stream. */
+    boolean mayContinueAt(String endpointVersion) {
+        return version == null || version.equals(endpointVersion);
+    }
+
     /** Checks whether the response head has been sent to the caller. */
     boolean isHeadSent() {
         return headSent;
@@ -56,7 +63,7 @@
     }
 
     /** Forwards an event if it is the next one in order; takes ownership of its buffer. */
-    Result forward(EventParser.StreamEvent event) {
+    Result forward(EventParser.StreamEvent event, String endpointVersion) {
         ByteBuf bytes = event.bytes();
         if (event.hasId() && hasLastId && event.id() <= lastId) {
             bytes.release();
@@ -70,6 +77,7 @@
             hasLastId = true;
             lastId = event.id();
         }
+        version = endpointVersion;
         connection.writeEvent(bytes);
         return Result.FORWARDED;
     }
