Take a stream up only at the software version that began it

Callers whose streams had been broken off took them up again and got a response of 200 that went on in the text of another software version.

Cause: a take-up was a new request, and went to any endpoint. The field that names the request which brought the first event was not read, and what began a stream was known nowhere, least of all after the instance that had served it, or all of them, were killed. Class: what an endpoint produces has a narrower identity than the name of its service.

Change: StreamOrigins finds service and version of the first event. While a service has one version, it is that one. Otherwise the instance that began the stream writes its origin to the store within a tenth of a second, and the instance at which it is taken up reads it there. VersionHistory keeps the versions of each service in the store by compare-and-swap, so that an instance which has just started does not take the one it sees for the only one. A take-up of unknown origin, or of a version that has left, is refused at once as not run.

Why it works: the origin is either known or the request is not sent. The store keeps it over the death of all instances, under a lease that nobody has to renew.

Tests: TestStreamVersionsOfFleet (no stream of two versions; take-ups go on at least half as often as new streams begin), over sockets TestStreamTakeUp and TestPlatformOriginStore. The fixture of the relay's socket tests states the versions that the store knows, since a take-up without any is refused now.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
@@ -62,9 +62,15 @@
                 .orElse(Long.MAX_VALUE);
     }
 
-    /** Gets the retry delay of a request for which there is no endpoint, at least until one that paused accepts again. */
+    /** Gets the retry delay of a request for which there is no endpoint, at least until one that paused accepts again; 0 if the
+     * version to which the request is restricted has left. */
     long getRetryMillis() {
         long now = context.timers().now();
+        boolean versionLeft =
+                version != null && getPool().getEndpoints().stream().allMatch(EndpointState::isLeaving);
+        if (versionLeft) {
+            return 0;
+        }
         long pauseNanos = getPool().getEndpoints().stream()
                 .filter(endpoint -> !endpoint.isLeaving())
                 .mapToLong(endpoint -> Math.max(now, endpoint.getRequestLimit().getPausedUntilNanos()) - now)
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
@@ -12,6 +12,7 @@
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.routing.EndpointSelector;
 import org.fuchsiawharf.core.routing.EndpointTable;
+import org.fuchsiawharf.core.stream.StreamOrigins;
 import org.fuchsiawharf.core.time.TimerService;
 
 /**
@@ -28,6 +29,7 @@
  * @param idleConnections limits the idle connections to endpoints
  * @param requestShares divides the request limits of endpoints among the instances
  * @param quarantine finds prompt parts and requests under which endpoints crash
+ * @param origins finds the software versions that began streams
  * @param admission decides which requests are admitted
  * @param timers the timer service
  * @param random the random number generator
@@ -44,6 +46,7 @@
         IdleConnectionLimits idleConnections,
         RequestShares requestShares,
         CrashQuarantine quarantine,
+        StreamOrigins origins,
         RequestAdmission admission,
         TimerService timers,
         SplittableRandom random,
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -15,6 +15,7 @@
 import org.fuchsiawharf.core.route.ServiceSpec;
 import org.fuchsiawharf.core.route.Workspace;
 import org.fuchsiawharf.core.routing.EndpointState;
+import org.fuchsiawharf.core.stream.StreamOrigin;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,6 +38,7 @@
     private final RelayContext context;
     private final StageForecast forecast;
     private final Map<CallerExchange, RelayTask> tasks = new IdentityHashMap<>();
+    private final Map<CallerExchange, RoutedRequest> takeUps = new IdentityHashMap<>();
     private final Map<String, RouteStatistics> statistics = new HashMap<>();
     private @Nullable RoutingConfig config;
     private boolean rejecting;
@@ -88,6 +90,7 @@
      */
     public void onEndpoints(List<EndpointStatus> endpoints) {
         Set<String> changed = context.table().update(endpoints);
+        context.origins().getHistory().onListed(endpoints);
         context.log().write("endpoints.changed", "known", endpoints.size(), "services", changed.toString());
         context.pools().onEndpointsChanged();
     }
@@ -174,7 +177,7 @@
      * @return the number of requests without a response
      */
     public int getActive() {
-        return tasks.size();
+        return tasks.size() + takeUps.size();
     }
 
     // -----------------------------------------------------------------------
@@ -188,14 +191,7 @@
     public void onRequest(RelayRequest request, CallerExchange exchange) {
         RoutingConfig current = config;
         if (rejecting) {
-            reject(
-                    request,
-                    exchange,
-                    new Refusal(
-                            Refusal.Kind.NOT_RUN,
-                            ErrorCode.SHUTTING_DOWN,
-                            "this instance stops",
-                            STOPPING_RETRY_MILLIS));
+            rejectStopping(request, exchange);
             return;
         }
         if (current == null) {
@@ -248,11 +244,39 @@
                             context.quarantine().getRetryMillis(quarantined)));
             return;
         }
+        if (routedRequest.isTakeUp()) {
+            takeUps.put(exchange, routedRequest);
+            context.origins()
+                    .find(routedRequest.streamId(), route.serviceNames(), origin -> takeUp(routedRequest, origin));
+        } else {
+            startTask(routedRequest);
+        }
+    }
+
+    // The caller may have left while the origin was looked up.
+    private void takeUp(RoutedRequest routedRequest, @Nullable StreamOrigin origin) {
+        if (takeUps.remove(routedRequest.exchange()) == null) {
+            return;
+        }
+        if (origin == null || !routedRequest.route().serviceNames().contains(origin.service())) {
+            String detail = "the software version that began the stream is unknown";
+            reject(
+                    routedRequest.request(),
+                    routedRequest.exchange(),
+                    new Refusal(Refusal.Kind.NOT_RUN, ErrorCode.STREAM_ORIGIN_UNKNOWN, detail, 0));
+            return;
+        }
+        startTask(routedRequest.withOrigin(origin));
+    }
+
+    private void startTask(RoutedRequest routedRequest) {
+        CallerExchange exchange = routedRequest.exchange();
         RelayTask task = new RelayTask(
                 context,
                 forecast,
                 routedRequest,
-                statistics.computeIfAbsent(route.name(), r -> new RouteStatistics(context.timers()::now)),
+                statistics.computeIfAbsent(
+                        routedRequest.route().name(), r -> new RouteStatistics(context.timers()::now)),
                 () -> tasks.remove(exchange));
         tasks.put(exchange, task);
         task.start();
@@ -264,6 +288,7 @@
      * @param exchange the exchange that was passed with the request, not null
      */
     public void onCallerLeft(CallerExchange exchange) {
+        takeUps.remove(exchange);
         RelayTask task = tasks.get(exchange);
         if (task != null) {
             task.onCallerLeft();
@@ -278,12 +303,22 @@
     /** Ends all requests in flight with a refusal, because the instance stops now. */
     public void endActiveRequests() {
         List.copyOf(tasks.values()).forEach(RelayTask::onStopping);
+        takeUps.values().forEach(takeUp -> rejectStopping(takeUp.request(), takeUp.exchange()));
+        takeUps.clear();
     }
 
     private void onQuarantined(Suspect suspect) {
         List.copyOf(tasks.values()).forEach(task -> task.onQuarantined(suspect));
     }
 
+    private void rejectStopping(RelayRequest request, CallerExchange exchange) {
+        String detail = "this instance stops";
+        reject(
+                request,
+                exchange,
+                new Refusal(Refusal.Kind.NOT_RUN, ErrorCode.SHUTTING_DOWN, detail, STOPPING_RETRY_MILLIS));
+    }
+
     private void reject(RelayRequest request, CallerExchange exchange, Refusal refusal) {
         RoutingConfig current = config;
         context.meters().count("requests", refusal.code().getWireName());
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -9,6 +9,7 @@
 import org.fuchsiawharf.core.quarantine.Suspect;
 import org.fuchsiawharf.core.route.Route;
 import org.fuchsiawharf.core.routing.EndpointState;
+import org.fuchsiawharf.core.stream.StreamOrigin;
 import org.fuchsiawharf.core.time.TimerService;
 import org.fuchsiawharf.core.time.TimerService.Timer;
 import org.jspecify.annotations.Nullable;
@@ -86,12 +87,20 @@
         this.objectiveNanos = arrivedNanos + (route.objectiveMillis() - elapsedMillis) * NANOS_PER_MILLI;
         this.rank = route.getRank(routedRequest.workspace());
         long prefixKey = route.affinity() ? routedRequest.request().sharedPartHash() : 0;
-        this.service = route.chooseService(
-                context.random().nextDouble(), s -> context.table().getPool(s).isServing());
+        StreamOrigin origin = routedRequest.origin();
+        this.service = origin != null ? origin.service() : chooseService(context, route);
         this.choice = new EndpointChoice(context, service, prefixKey);
+        if (origin != null) {
+            choice.restrictTo(origin.version());
+        }
         this.deadlineTimer = timers.schedule(deadlineNanos, this::onDeadline);
     }
 
+    private static String chooseService(RelayContext context, Route route) {
+        double draw = context.random().nextDouble();
+        return route.chooseService(draw, s -> context.table().getPool(s).isServing());
+    }
+
     // -----------------------------------------------------------------------
 
     void start() {
@@ -354,6 +363,9 @@
             attempt.cancel();
         }
         releaseResults();
+        if (streamStarted) {
+            context.origins().onEnded(routedRequest.streamId(), outcome.equals("answered"));
+        }
         long elapsedNanos = timers.now() - arrivedNanos;
         context.meters().count("requests", outcome);
         context.meters().time("request_seconds", routedRequest.route().name(), elapsedNanos);
@@ -397,6 +409,7 @@
         if (!streamStarted && attempt != null) {
             streamStarted = true;
             choice.restrictTo(attempt.getVersion());
+            routedRequest.recordOrigin(context.origins(), new StreamOrigin(service, attempt.getVersion()));
             releaseResults();
             statistics.onResponse(elapsedNanos);
             context.meters().time("first_event_seconds", routedRequest.route().name(), timers.now() - arrivedNanos);
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RoutedRequest.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RoutedRequest.java
@@ -4,8 +4,11 @@
 import java.util.List;
 
 import org.fuchsiawharf.core.quarantine.Suspect;
+import org.fuchsiawharf.core.route.RequestKind;
 import org.fuchsiawharf.core.route.Route;
 import org.fuchsiawharf.core.route.Workspace;
+import org.fuchsiawharf.core.stream.StreamOrigin;
+import org.fuchsiawharf.core.stream.StreamOrigins;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -20,6 +23,7 @@
  * @param configVersion the version of the configuration by which the request is routed
  * @param fingerprint the fingerprint that the request shares with its repeats
  * @param suspects what the request shares with others that may crash endpoints
+ * @param origin what began the stream that the request takes up, null if it begins a new response
  */
 record RoutedRequest(
         RelayRequest request,
@@ -28,7 +32,8 @@
         @Nullable Workspace workspace,
         long configVersion,
         String fingerprint,
-        List<Suspect> suspects) {
+        List<Suspect> suspects,
+        @Nullable StreamOrigin origin) {
     static RoutedRequest of(
             RelayRequest request,
             CallerExchange exchange,
@@ -39,6 +44,28 @@
         List<Suspect> suspects = new ArrayList<>();
         request.sharedParts().forEach(part -> suspects.add(Suspect.ofPart(part)));
         suspects.add(Suspect.ofRequest(fingerprint));
-        return new RoutedRequest(request, exchange, route, workspace, configVersion, fingerprint, suspects);
+        return new RoutedRequest(request, exchange, route, workspace, configVersion, fingerprint, suspects, null);
+    }
+
+    RoutedRequest withOrigin(StreamOrigin newOrigin) {
+        return new RoutedRequest(request, exchange, route, workspace, configVersion, fingerprint, suspects, newOrigin);
+    }
+
+    /** Checks whether the request takes up a stream that another request began. */
+    boolean isTakeUp() {
+        return request.takeUp() != null && route.kind() == RequestKind.RESUMABLE_STREAM;
+    }
+
+    /** Records what wrote the first event of the response, so that the caller can take the stream up. */
+    void recordOrigin(StreamOrigins origins, StreamOrigin began) {
+        if (route.kind() == RequestKind.RESUMABLE_STREAM) {
+            origins.onBegun(streamId(), began, route.services().size() > 1);
+        }
+    }
+
+    /** Gets the id of the request that began the stream of the response. */
+    String streamId() {
+        RelayRequest.TakeUp takeUp = request.takeUp();
+        return takeUp == null || takeUp.firstRequest().isEmpty() ? request.id() : takeUp.firstRequest();
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/route/Route.java
+++ b/core/src/main/java/org/fuchsiawharf/core/route/Route.java
@@ -57,6 +57,15 @@
         }
     }
 
+    /**
+     * Gets the names of the services to which requests may go.
+     *
+     * @return the names, never null
+     */
+    public List<String> serviceNames() {
+        return services.stream().map(WeightedService::service).toList();
+    }
+
     /**
      * Chooses the service for one request at random, in proportion to the weights.
      *
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -38,6 +38,8 @@
 import org.fuchsiawharf.core.route.ServiceSpec;
 import org.fuchsiawharf.core.routing.EndpointTable;
 import org.fuchsiawharf.core.routing.ExpectedCompletionSelector;
+import org.fuchsiawharf.core.stream.StreamOrigins;
+import org.fuchsiawharf.core.stream.VersionHistory;
 import org.fuchsiawharf.core.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -360,6 +362,7 @@
                 new IdleConnectionLimits(() -> 1),
                 new RequestShares(members, instanceRandom),
                 new CrashQuarantine(timers, part -> false, log),
+                new StreamOrigins(new VersionHistory(timers, instanceRandom), timers),
                 admission,
                 timers,
                 instanceRandom,
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -32,6 +32,8 @@
 import org.fuchsiawharf.core.route.Workspace;
 import org.fuchsiawharf.core.routing.EndpointTable;
 import org.fuchsiawharf.core.routing.ExpectedCompletionSelector;
+import org.fuchsiawharf.core.stream.StreamOrigins;
+import org.fuchsiawharf.core.stream.VersionHistory;
 import org.fuchsiawharf.core.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -51,6 +53,7 @@
     final FakeEndpointCalls calls = new FakeEndpointCalls();
     final FakePieceCalls pieces = new FakePieceCalls();
     final CrashQuarantine quarantine;
+    final RelayContext context;
     final RelayInstance instance;
     final List<String> loggedEvents = new ArrayList<>();
     private final SharedRetryBudget budget;
@@ -83,7 +86,7 @@
         SplittableRandom random = new SplittableRandom(self.name().hashCode());
         quarantine =
                 new CrashQuarantine(timers, id -> members.rankOwners(id).get(0).equals(self), log);
-        instance = new RelayInstance(new RelayContext(
+        context = new RelayContext(
                 table,
                 new ExpectedCompletionSelector(random, 2e6, 150e6),
                 health,
@@ -93,11 +96,13 @@
                 new IdleConnectionLimits(() -> 1),
                 new RequestShares(members, random),
                 quarantine,
+                new StreamOrigins(new VersionHistory(timers, random), timers),
                 new ObjectiveAdmission(),
                 timers,
                 random,
                 log,
-                Meters.NONE));
+                Meters.NONE);
+        instance = new RelayInstance(context);
         pools.start();
     }
 
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestStreamVersionsOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestStreamVersionsOfFleet.java
@@ -36,10 +36,15 @@
     private final List<Attempt> attempts = new ArrayList<>();
     private VersionedEngines engines = new VersionedEngines(timers, 0);
     private SplittableRandom random = new SplittableRandom(0);
+    private final SimulatedOriginStore store = new SimulatedOriginStore(timers);
     private int requests;
 
     private record Instance(
-            RelayInstanceFixture fixture, VersionedEngines.Calls calls, long startMillis, List<Attempt> open) {}
+            RelayInstanceFixture fixture,
+            VersionedEngines.Calls calls,
+            SimulatedOriginStore.Connection connection,
+            long startMillis,
+            List<Attempt> open) {}
 
     /** One request of a caller; the stream is the id of the first request, by which take-ups name it. */
     private record Attempt(
@@ -55,16 +60,21 @@
 
     private void start(int index) {
         VersionedEngines.Calls calls = engines.new Calls();
+        SimulatedOriginStore.Connection connection = store.new Connection();
         RelayInstanceFixture fixture = new RelayInstanceFixture(timers, members.get(index), members, 1_000, calls);
+        fixture.context.origins().setStore(connection);
+        connection.connect(fixture.context.origins().getHistory());
+        fixture.context.origins().getHistory().start();
         fixture.instance.applyConfig(RelayInstanceFixture.config(1, "plain"));
         fixture.instance.onEndpoints(engines.list());
-        fleet[index] = new Instance(fixture, calls, nowMillis(), new ArrayList<>());
+        fleet[index] = new Instance(fixture, calls, connection, nowMillis(), new ArrayList<>());
     }
 
     // The callers of a killed instance come back to others.
     private void kill(int index) {
         Instance killed = fleet[index];
         killed.calls().kill();
+        killed.connection().kill();
         List.copyOf(killed.open()).forEach(attempt -> {
             attempt.exchange().onOutcome = outcome -> {};
             onBroken(attempt);
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -30,6 +30,8 @@
 import org.fuchsiawharf.core.route.RoutingConfig;
 import org.fuchsiawharf.core.routing.EndpointTable;
 import org.fuchsiawharf.core.routing.ExpectedCompletionSelector;
+import org.fuchsiawharf.core.stream.StreamOrigins;
+import org.fuchsiawharf.core.stream.VersionHistory;
 import org.fuchsiawharf.core.time.TimerService;
 import org.fuchsiawharf.peer.PeerListener;
 import org.fuchsiawharf.peer.PeerNetwork;
@@ -74,6 +76,7 @@
     private final PeerNetwork peers;
     private final StagePools pools;
     private final EvidenceExchange evidenceExchange;
+    private final StreamOrigins origins;
     private final RelayInstance instance;
     private final CallerServer callerServer;
     private final StatusServer statusServer = new StatusServer(ioThread);
@@ -127,6 +130,7 @@
                 new CrashQuarantine(timers, id -> members.rankOwners(id).get(0).equals(self), log);
         this.evidenceExchange = new EvidenceExchange(quarantine, peers, timers, random);
         RelayedCalls calls = new RelayedCalls(ioThread, client, names, loop, log, noticeReader);
+        this.origins = new StreamOrigins(new VersionHistory(timers, random), timers);
         this.instance = new RelayInstance(new RelayContext(
                 table,
                 new ExpectedCompletionSelector(random, CROSS_ZONE_COST_NANOS, CACHED_PROMPT_SAVING_NANOS),
@@ -137,6 +141,7 @@
                 new IdleConnectionLimits(members::size),
                 new RequestShares(members, random),
                 quarantine,
+                origins,
                 new ObjectiveAdmission(),
                 timers,
                 random,
@@ -171,6 +176,7 @@
         loop.start();
         loop.execute(pools::start);
         loop.execute(evidenceExchange::start);
+        loop.execute(origins.getHistory()::start);
         loop.execute(this::reportLoad);
         peers.bind(new PeerListener() {
             @Override
@@ -318,6 +324,15 @@
         return watchers;
     }
 
+    /**
+     * Gets the origins of streams, whose store the platform module sets before {@link #start}.
+     *
+     * @return the origins, used on the decision loop, never null
+     */
+    public StreamOrigins getOrigins() {
+        return origins;
+    }
+
     /**
      * Gets the decision loop.
      *
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.member.Member;
@@ -75,14 +77,23 @@
     private void configure(ScriptedEndpoint... endpoints) throws InterruptedException {
         List<EndpointStatus> statuses = new ArrayList<>();
         for (int i = 0; i < endpoints.length; i++) {
-            statuses.add(new EndpointStatus(
-                    new Endpoint(
-                            "e" + i, "s", "a", InetAddress.getLoopbackAddress().getHostAddress(), endpoints[i].port()),
-                    false));
+            statuses.add(status("e" + i, endpoints[i], ""));
         }
+        list(statuses);
+    }
+
+    static EndpointStatus status(String name, ScriptedEndpoint endpoint, String version) {
+        String host = InetAddress.getLoopbackAddress().getHostAddress();
+        return new EndpointStatus(new Endpoint(name, "s", "a", host, endpoint.port()), false, 1, version);
+    }
+
+    /** Lists endpoints, whose versions are the only ones known to the store. */
+    void list(List<EndpointStatus> statuses) throws InterruptedException {
+        Set<String> versions = statuses.stream().map(EndpointStatus::version).collect(Collectors.toSet());
         CountDownLatch applied = new CountDownLatch(1);
         process.getLoop().execute(() -> {
             process.applyConfig(config());
+            process.getOrigins().getHistory().onStored("s", versions, 1);
             process.setEndpoints(statuses);
             applied.countDown();
         });
