--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -88,7 +88,7 @@
         this.rank = route.getRank(routedRequest.workspace());
         long prefixKey = route.affinity() ? routedRequest.request().sharedPartHash() : 0;
         StreamOrigin origin = routedRequest.origin();
-        this.service = origin != null ? origin.service() : chooseService(context, route);
+        this.service = routedRequest.chooseService(context);
         this.choice = new EndpointChoice(context, service, prefixKey);
         if (origin != null) {
             choice.restrictTo(origin.version());
@@ -96,11 +96,6 @@
         this.deadlineTimer = timers.schedule(deadlineNanos, this::onDeadline);
     }
 
-    private static String chooseService(RelayContext context, Route route) {
-        double draw = context.random().nextDouble();
-        return route.chooseService(draw, s -> context.table().getPool(s).isServing());
-    }
-
     // -----------------------------------------------------------------------
 
     void start() {
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RoutedRequest.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RoutedRequest.java
@@ -51,6 +51,17 @@
         return new RoutedRequest(request, exchange, route, workspace, configVersion, fingerprint, suspects, newOrigin);
     }
 
+    /** Chooses the service of the request, for a stream that is taken up that of its origin. */
+    String chooseService(RelayContext context) {
+        StreamOrigin began = origin;
+        if (began != null) {
+            return began.service();
+        }
+        double draw = context.random().nextDouble();
+        return route.chooseService(
+                draw, service -> context.table().getPool(service).isServing());
+    }
+
     /** Checks whether the request takes up a stream that another request began. */
     boolean isTakeUp() {
         return request.takeUp() != null && route.kind() == RequestKind.RESUMABLE_STREAM;
