Keep quarantined requests and parts in the store while all instances restart

Callers saw the crashes begin anew after all instances had been killed at once.

Cause: the evidence of a quarantine was known to the instances only. Class: what must last was kept in memory. Found by looking for what else the restart of all instances forgets.

The test network delivered messages of killed instances until now, which hid it; it no longer does.

Change: the instance that sends the trials of a suspect also stores it, with the number of trials, under a lease of ten minutes; a released suspect is removed. Each instance applies what it finds there like any other change of the store. The ended endpoints and the suspicions are classes of their own, as the quarantine had outgrown its file.

--- a/core/src/main/java/org/fuchsiawharf/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/fuchsiawharf/core/quarantine/CrashQuarantine.java
@@ -40,8 +40,6 @@
     /** Time after the last loss or refusal for which a suspect is kept. */
     private static final long RETENTION_NANOS = 600_000_000_000L;
 
-    private static final int MAX_SUSPICIONS = 2_048;
-    private static final int MAX_ENDED_ENDPOINTS = 1_024;
     private static final int MAX_SOUND_SUSPECTS = 8_192;
     private static final int MAX_UNCONFIRMED_ANSWERS = 4_096;
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -49,13 +47,13 @@
     private final TimerService timers;
     private final Predicate<String> isTrialInstance;
     private final DecisionLog log;
-    private final Map<Suspect, Suspicion> suspicions = new LinkedHashMap<>();
-    private final Map<String, Long> endedNanosByEndpoint = new LinkedHashMap<>();
-    private final Map<String, Long> replacedNanosByEndpoint = new LinkedHashMap<>();
+    private final Suspicions suspicions = new Suspicions();
+    private final EndedEndpoints endedEndpoints = new EndedEndpoints();
     private final Map<Suspect, Long> soundNanosBySuspect = new LinkedHashMap<>();
     private final Deque<Answer> unconfirmedAnswers = new ArrayDeque<>();
     private Consumer<CrashEvidence> onObserved = evidence -> {};
     private Consumer<Suspect> onQuarantined = suspect -> {};
+    private Consumer<Suspect> onChanged = suspect -> {};
 
     private record Answer(List<Suspect> suspects, String endpoint, long nanos) {}
 
@@ -90,6 +88,15 @@
         onQuarantined = listener;
     }
 
+    /**
+     * Sets the listener for new and ended quarantines and for trials.
+     *
+     * @param listener receives the suspect, not null
+     */
+    public void setChangeListener(Consumer<Suspect> listener) {
+        onChanged = listener;
+    }
+
     // -----------------------------------------------------------------------
 
     /**
@@ -115,7 +122,7 @@
                 suspicion.onActive(now);
                 return suspect;
             } else {
-                log("quarantine.trial", suspect, "trials", suspicion.getTrials());
+                report("quarantine.trial", suspect, "trials", suspicion.getTrials());
                 observeTrial(suspect, suspicion.getTrials());
             }
         }
@@ -152,6 +159,25 @@
                 : Math.max(0, Math.min(suspicion.getNextTrialNanos(), now + RETENTION_NANOS) - now) / NANOS_PER_MILLI;
     }
 
+    int getTrials(Suspect suspect) {
+        Suspicion suspicion = suspicions.get(suspect);
+        return suspicion == null ? 0 : suspicion.getTrials();
+    }
+
+    /** Quarantines a suspect whose losses are not known, with the number of trials that have begun. */
+    void restore(Suspect suspect, int trials) {
+        long now = timers.now();
+        if (getQuarantined(List.of(suspect)) != null || isSound(suspect, now)) {
+            return;
+        }
+        Suspicion suspicion = suspicions.getOrCreate(suspect);
+        suspicion.onActive(now);
+        suspicion.addTrials(trials, now);
+        suspicion.quarantine(now);
+        log.write("quarantine.restored", "kind", suspect.kind().getWireName(), "id", suspect.id(), "trials", trials);
+        onQuarantined.accept(suspect);
+    }
+
     // -----------------------------------------------------------------------
 
     /**
@@ -184,8 +210,7 @@
      * @param endpoint the previous incarnation, not null
      */
     public void onReplaced(String endpoint) {
-        replacedNanosByEndpoint.put(endpoint, timers.now());
-        removeOldest(replacedNanosByEndpoint, MAX_ENDED_ENDPOINTS);
+        endedEndpoints.onReplaced(endpoint, timers.now());
         onEnded(endpoint);
     }
 
@@ -226,11 +251,10 @@
         confirmAnswers(now);
         Set<String> newlyEnded = new HashSet<>();
         evidence.endedEndpoints().forEach(endpoint -> {
-            if (endedNanosByEndpoint.putIfAbsent(endpoint, now) == null) {
+            if (endedEndpoints.add(endpoint, now)) {
                 newlyEnded.add(endpoint);
             }
         });
-        removeOldest(endedNanosByEndpoint, MAX_ENDED_ENDPOINTS);
         Set<Suspect> sound = new HashSet<>();
         List<CrashEvidence.Loss> newLosses = new ArrayList<>();
         for (CrashEvidence.Loss loss : evidence.losses()) {
@@ -264,7 +288,7 @@
      */
     public CrashEvidence getEvidence() {
         long now = timers.now();
-        suspicions.values().removeIf(suspicion -> isExpired(suspicion, now));
+        suspicions.removeInactiveSince(now - RETENTION_NANOS);
         Set<String> endpoints = new HashSet<>();
         List<CrashEvidence.Loss> losses = new ArrayList<>();
         List<CrashEvidence.Trial> trials = new ArrayList<>();
@@ -284,7 +308,7 @@
                 trials.add(new CrashEvidence.Trial(suspect, suspicion.getTrials(), ageMillis));
             }
         });
-        endpoints.retainAll(endedNanosByEndpoint.keySet());
+        endpoints.removeIf(endpoint -> !endedEndpoints.contains(endpoint));
         return new CrashEvidence(endpoints, losses, Set.of(), trials);
     }
 
@@ -295,12 +319,8 @@
         if (now - lostNanos > RETENTION_NANOS) {
             return false;
         }
-        if (!suspicions.containsKey(loss.suspect()) && suspicions.size() >= MAX_SUSPICIONS) {
-            evictSuspicion();
-        }
         return suspicions
-                .computeIfAbsent(
-                        loss.suspect(), suspect -> new Suspicion(loss.suspect().kind()))
+                .getOrCreate(loss.suspect())
                 .add(new Suspicion.LostCall(loss.endpoint(), loss.prompt()), lostNanos);
     }
 
@@ -314,24 +334,12 @@
                 new CrashEvidence(Set.of(), List.of(), Set.of(), List.of(new CrashEvidence.Trial(suspect, count, 0))));
     }
 
-    // Removes the oldest suspicion that rests on one endpoint, so that many different suspects cannot displace a
-    // crashing one.
-    private void evictSuspicion() {
-        Suspect evicted = suspicions.entrySet().stream()
-                .filter(entry ->
-                        entry.getValue().findEndedEndpoints(endpoint -> true).size() < 2)
-                .map(Map.Entry::getKey)
-                .findFirst()
-                .orElseGet(() -> suspicions.keySet().iterator().next());
-        suspicions.remove(evicted);
-    }
-
     private static boolean isExpired(Suspicion suspicion, long now) {
         return now - suspicion.getLastActiveNanos() > RETENTION_NANOS;
     }
 
     private Set<String> findEndedEndpoints(Suspicion suspicion) {
-        return suspicion.findEndedEndpoints(endedNanosByEndpoint::containsKey);
+        return suspicion.findEndedEndpoints(endedEndpoints::contains);
     }
 
     // -----------------------------------------------------------------------
@@ -367,7 +375,7 @@
         } else {
             suspicion.release();
         }
-        log(conclusive ? "quarantine.added" : "quarantine.explained", suspect, "endpoints", unexplained.size());
+        report(conclusive ? "quarantine.added" : "quarantine.explained", suspect, "endpoints", unexplained.size());
         return conclusive;
     }
 
@@ -386,8 +394,9 @@
         return unexplained;
     }
 
-    private void log(String event, Suspect suspect, String field, int value) {
+    private void report(String event, Suspect suspect, String field, int value) {
         log.write(event, "kind", suspect.kind().getWireName(), "id", suspect.id(), field, value);
+        onChanged.accept(suspect);
     }
 
     // -----------------------------------------------------------------------
@@ -401,11 +410,11 @@
         while (!unconfirmedAnswers.isEmpty()
                 && now - unconfirmedAnswers.getFirst().nanos() > SOUND_STREAM_NANOS) {
             Answer answer = unconfirmedAnswers.removeFirst();
-            Long endedNanos = endedNanosByEndpoint.get(answer.endpoint());
+            Long endedNanos = endedEndpoints.getEndedNanos(answer.endpoint());
             boolean reachable = endedNanos != null && answer.nanos() > endedNanos;
-            if (reachable && !replacedNanosByEndpoint.containsKey(answer.endpoint())) {
+            if (reachable) {
                 // The endpoint could only not be reached for a time.
-                endedNanosByEndpoint.remove(answer.endpoint());
+                endedEndpoints.onReachable(answer.endpoint());
             }
             if (reachable || endedNanos == null || endedNanos - answer.nanos() > SOUND_STREAM_NANOS) {
                 markSound(answer.suspects());
@@ -430,17 +439,11 @@
     private boolean release(Suspect suspect, long now) {
         soundNanosBySuspect.remove(suspect);
         soundNanosBySuspect.put(suspect, now);
-        removeOldest(soundNanosBySuspect, MAX_SOUND_SUSPECTS);
+        EndedEndpoints.removeOldest(soundNanosBySuspect, MAX_SOUND_SUSPECTS);
         Suspicion suspicion = suspicions.remove(suspect);
         if (suspicion != null && suspicion.isQuarantined()) {
-            log("quarantine.released", suspect, "trials", suspicion.getTrials());
+            report("quarantine.released", suspect, "trials", suspicion.getTrials());
         }
         return suspicion != null;
     }
-
-    private static <K> void removeOldest(Map<K, Long> map, int maxSize) {
-        while (map.size() > maxSize) {
-            map.remove(map.keySet().iterator().next());
-        }
-    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/quarantine/Suspect.java
+++ b/core/src/main/java/org/fuchsiawharf/core/quarantine/Suspect.java
@@ -26,6 +26,17 @@
         public String getWireName() {
             return name().toLowerCase(Locale.ROOT);
         }
+
+        /**
+         * Gets the kind of a name.
+         *
+         * @param name the name in lower case, not null
+         * @return the kind, never null
+         * @throws IllegalArgumentException if no kind has the name
+         */
+        public static Kind ofWireName(String name) {
+            return valueOf(name.toUpperCase(Locale.ROOT));
+        }
     }
 
     /**
--- a/core/src/test/java/org/fuchsiawharf/core/relay/EvidenceNetwork.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/EvidenceNetwork.java
@@ -1,6 +1,7 @@
 package org.fuchsiawharf.core.relay;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
 
     private final TimerService timers;
     private final Map<String, EvidenceExchange> exchanges = new LinkedHashMap<>();
+    private final Map<String, Port> ports = new HashMap<>();
 
     EvidenceNetwork(TimerService timers) {
         this.timers = timers;
@@ -30,9 +32,11 @@
 
     /** Connects an instance with all others; replaces the instance of that name if it has restarted. */
     void connect(String name, CrashQuarantine quarantine) {
+        Port port = new Port(name);
         EvidenceExchange exchange =
-                new EvidenceExchange(quarantine, new Port(name), timers, new SplittableRandom(name.hashCode()));
+                new EvidenceExchange(quarantine, port, timers, new SplittableRandom(name.hashCode()));
         exchanges.put(name, exchange);
+        ports.put(name, port);
         exchange.start();
     }
 
@@ -48,13 +52,20 @@
 
         @Override
         public boolean send(String peer, PeerMessage message) {
+            if (!isAlive()) {
+                return false;
+            }
             timers.schedule(timers.now() + DELAY_NANOS, () -> deliver(peer, message));
             return true;
         }
 
+        private boolean isAlive() {
+            return ports.get(self) == this;
+        }
+
         private void deliver(String peer, PeerMessage message) {
             EvidenceExchange receiver = exchanges.get(peer);
-            if (receiver != null && message instanceof PeerMessage.ShareEvidence evidence) {
+            if (isAlive() && receiver != null && message instanceof PeerMessage.ShareEvidence evidence) {
                 receiver.onMessage(evidence);
             }
         }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
@@ -20,6 +21,7 @@
 import org.fuchsiawharf.core.pieces.PoolContext;
 import org.fuchsiawharf.core.pieces.StagePools;
 import org.fuchsiawharf.core.quarantine.CrashQuarantine;
+import org.fuchsiawharf.core.quarantine.QuarantineKeeper;
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.route.CallerLimits;
 import org.fuchsiawharf.core.route.PieceService;
@@ -53,6 +55,7 @@
     final FakeEndpointCalls calls = new FakeEndpointCalls();
     final FakePieceCalls pieces = new FakePieceCalls();
     final CrashQuarantine quarantine;
+    final QuarantineKeeper quarantineKeeper;
     final RelayContext context;
     final RelayInstance instance;
     final List<String> loggedEvents = new ArrayList<>();
@@ -84,8 +87,9 @@
         StagePools pools = new StagePools(
                 members, PeerPort.NONE, new PoolContext(table, health, pieces, timers, budget, log, Meters.NONE));
         SplittableRandom random = new SplittableRandom(self.name().hashCode());
-        quarantine =
-                new CrashQuarantine(timers, id -> members.rankOwners(id).get(0).equals(self), log);
+        Predicate<String> isTrialInstance = id -> members.rankOwners(id).get(0).equals(self);
+        quarantine = new CrashQuarantine(timers, isTrialInstance, log);
+        quarantineKeeper = new QuarantineKeeper(quarantine, isTrialInstance);
         context = new RelayContext(
                 table,
                 new ExpectedCompletionSelector(random, 2e6, 150e6),
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestRepeatedRequestCrashesOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestRepeatedRequestCrashesOfFleet.java
@@ -1,11 +1,15 @@
 package org.fuchsiawharf.core.relay;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
 import org.fuchsiawharf.core.member.Member;
+import org.fuchsiawharf.core.quarantine.QuarantineStore;
+import org.fuchsiawharf.core.quarantine.Suspect;
 import org.fuchsiawharf.core.time.TimerService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -87,6 +91,31 @@
         fleet.forEach(i -> i.instance.onEndpoints(engines.list()));
     }
 
+    // All evidence is lost with the instances; the store reports to each new one what it keeps.
+    private void restartAll(CrashingEngines engines, Map<Suspect, Integer> stored) {
+        int instances = fleet.size();
+        fleet.clear();
+        startFleet(instances, engines);
+        fleet.forEach(i -> {
+            connectStore(i, stored);
+            Map.copyOf(stored).forEach(i.quarantineKeeper::onStored);
+        });
+    }
+
+    private static void connectStore(RelayInstanceFixture instance, Map<Suspect, Integer> stored) {
+        instance.quarantineKeeper.setStore(new QuarantineStore() {
+            @Override
+            public void put(Suspect suspect, int trials) {
+                stored.put(suspect, trials);
+            }
+
+            @Override
+            public void remove(Suspect suspect) {
+                stored.remove(suspect);
+            }
+        });
+    }
+
     private RecordingExchange send(CrashingEngines engines, Load load, long content, SplittableRandom random) {
         RecordingExchange exchange = new RecordingExchange();
         boolean crashing = content == CRASHING_CONTENT;
@@ -186,6 +215,22 @@
         verifySends(endpoints);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void quarantinedRequestIsNotSentAgainAfterAllInstancesWereKilled(long seed) {
+        CrashingEngines engines = new CrashingEngines(timers, 6, seed);
+        Map<Suspect, Integer> stored = new HashMap<>();
+        startFleet(9, engines);
+        fleet.forEach(i -> connectStore(i, stored));
+        play(engines, Chat.CHAT, seed, 1);
+        int sends = engines.crashingSendMillis.size();
+        restartAll(engines, stored);
+        play(engines, Chat.CHAT, seed, 1);
+        restartAll(engines, stored);
+        play(engines, Chat.CHAT, seed, 1);
+        assertThat(engines.crashingSendMillis, hasSize(lessThanOrEqualTo(sends + MAX_SENDS_AFTER)));
+    }
+
     @Test
     void requestThatCrashesEachEngineOfLargestFleetIsSentToNoMoreThanThreeAfterTheThird() {
         CrashingEngines engines = new CrashingEngines(timers, 37, 1);
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
@@ -23,6 +24,7 @@
 import org.fuchsiawharf.core.pieces.StagePools;
 import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.quarantine.EvidenceExchange;
+import org.fuchsiawharf.core.quarantine.QuarantineKeeper;
 import org.fuchsiawharf.core.relay.ObjectiveAdmission;
 import org.fuchsiawharf.core.relay.RelayContext;
 import org.fuchsiawharf.core.relay.RelayInstance;
@@ -76,6 +78,7 @@
     private final PeerNetwork peers;
     private final StagePools pools;
     private final EvidenceExchange evidenceExchange;
+    private final QuarantineKeeper quarantineKeeper;
     private final StreamOrigins origins;
     private final RelayInstance instance;
     private final CallerServer callerServer;
@@ -126,8 +129,9 @@
                 members,
                 peers,
                 new PoolContext(table, ejection, pieceCalls.apply(this), timers, retryBudget, log, meters));
-        CrashQuarantine quarantine =
-                new CrashQuarantine(timers, id -> members.rankOwners(id).get(0).equals(self), log);
+        Predicate<String> isTrialInstance = id -> members.rankOwners(id).get(0).equals(self);
+        CrashQuarantine quarantine = new CrashQuarantine(timers, isTrialInstance, log);
+        this.quarantineKeeper = new QuarantineKeeper(quarantine, isTrialInstance);
         this.evidenceExchange = new EvidenceExchange(quarantine, peers, timers, random);
         RelayedCalls calls = new RelayedCalls(ioThread, client, names, loop, log, noticeReader);
         this.origins = new StreamOrigins(new VersionHistory(timers, random), timers);
@@ -325,7 +329,16 @@
     }
 
     /**
-     * Gets the origins of streams, whose store the platform module sets before {@link #start}.
+     * Gets the keeper of quarantined suspects, whose store the platform module sets when it starts.
+     *
+     * @return the keeper, used on the decision loop, never null
+     */
+    public QuarantineKeeper getQuarantineKeeper() {
+        return quarantineKeeper;
+    }
+
+    /**
+     * Gets the origins of streams, whose store the platform module sets when it starts.
      *
      * @return the origins, used on the decision loop, never null
      */
