Do not take a restored quarantine for explained after further losses

A restored suspect has no losses of its own. A part whose trials were lost with three endpoints under one prompt was released, as if another suspect explained these. A quarantine ends only if one does. The test failed before.

--- a/core/src/main/java/org/fuchsiawharf/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/fuchsiawharf/core/quarantine/CrashQuarantine.java
@@ -234,7 +234,16 @@
      * @param suspects what the request shares with others, not null
      */
     public void onSound(List<Suspect> suspects) {
-        markSound(suspects);
+        long now = timers.now();
+        Set<Suspect> released = new HashSet<>();
+        for (Suspect suspect : suspects) {
+            if (release(suspect, now)) {
+                released.add(suspect);
+            }
+        }
+        if (!released.isEmpty()) {
+            onObserved.accept(new CrashEvidence(Set.of(), List.of(), released, List.of()));
+        }
     }
 
     /**
@@ -367,7 +376,8 @@
     private boolean updateQuarantine(Suspect suspect, Set<String> unexplained, long now) {
         Suspicion suspicion = Objects.requireNonNull(suspicions.get(suspect));
         boolean conclusive = suspicion.isConclusive(unexplained);
-        if (conclusive == suspicion.isQuarantined()) {
+        boolean explained = unexplained.size() < findEndedEndpoints(suspicion).size();
+        if (conclusive == suspicion.isQuarantined() || !conclusive && !explained) {
             return false;
         }
         if (conclusive) {
@@ -417,22 +427,9 @@
                 endedEndpoints.onReachable(answer.endpoint());
             }
             if (reachable || endedNanos == null || endedNanos - answer.nanos() > SOUND_STREAM_NANOS) {
-                markSound(answer.suspects());
-            }
-        }
-    }
-
-    private void markSound(List<Suspect> suspects) {
-        long now = timers.now();
-        Set<Suspect> released = new HashSet<>();
-        for (Suspect suspect : suspects) {
-            if (release(suspect, now)) {
-                released.add(suspect);
+                onSound(answer.suspects());
             }
         }
-        if (!released.isEmpty()) {
-            onObserved.accept(new CrashEvidence(Set.of(), List.of(), released, List.of()));
-        }
     }
 
     // Returns true if the suspect was suspected.
--- a/core/src/main/java/org/fuchsiawharf/core/quarantine/package-info.java
+++ b/core/src/main/java/org/fuchsiawharf/core/quarantine/package-info.java
@@ -1,4 +1,4 @@
-/** Finds the prompt parts under which endpoints crash, from what the instances of the fleet observe together. */
+/** Finds the prompt parts and requests under which endpoints crash, from what the instances of the fleet observe together. */
 @NullMarked
 package org.fuchsiawharf.core.quarantine;
 
--- a/core/src/test/java/org/fuchsiawharf/core/quarantine/TestCrashQuarantine.java
+++ b/core/src/test/java/org/fuchsiawharf/core/quarantine/TestCrashQuarantine.java
@@ -219,6 +219,15 @@
         assertThat(trials, is(3));
     }
 
+    @Test
+    void restoredPartStaysQuarantinedAfterFurtherLossesOfOnePrompt() {
+        quarantine.restore(Suspect.ofPart("crash"), 0);
+        for (int i = 0; i < 3; i++) {
+            loseAt(quarantine, "e" + i, 7, "crash");
+        }
+        assertThat(quarantine.findQuarantined(parts("crash")), is(notNullValue()));
+    }
+
     @Test
     void requestThatGoesOnComingIsQuarantinedBeyondTenMinutes() {
         loseRequestAt("crash", "e0", "e1", "e2");
