--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -266,6 +266,17 @@
                     new Refusal(Refusal.Kind.NOT_RUN, ErrorCode.STREAM_ORIGIN_UNKNOWN, detail, 0));
             return;
         }
+        context.log()
+                .write(
+                        "stream.taken_up",
+                        "request",
+                        routedRequest.request().id(),
+                        "first_request",
+                        routedRequest.streamId(),
+                        "service",
+                        origin.service(),
+                        "version",
+                        origin.version());
         startTask(routedRequest.withOrigin(origin));
     }
 
