Show streams of two versions after workers restart while the store is away

Takes the place of case 3, an answer cut in a planned stop, which moves to review/left-out. Seen: while the store is away, all streams that were taken up after the crash went on at the restarted workers, at the other version.

--- a/review/3/StopWhileSending.java
+++ b/review/left-out/stop-while-sending/StopWhileSending.java
@@ -41,7 +41,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         List<String> hosts = Deployment.findHosts(3);
         InetSocketAddress storeAddress = new InetSocketAddress(hosts.get(1), 8624);
-        try (Record record = new Record("review/3/record.txt");
+        try (Record record = new Record("review/left-out/stop-while-sending/record.txt");
                 Deployment deployment = new Deployment(storeAddress)) {
             System.exit(run(trouble, hosts, storeAddress, deployment, record));
         }
--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -27,6 +27,7 @@
     private final int receiveBuffer;
     private Socket socket;
     private InputStream in;
+    private String retryAfter = "";
     /** Bytes a second at which answers are read; 0 for no limit. */
     public int bytesPerSecond;
 
@@ -96,12 +97,20 @@
         if (line == null) {
             return 0;
         }
+        retryAfter = "";
         for (String field = Worker.readLine(in); field != null && !field.isEmpty(); field = Worker.readLine(in)) {
-            // Only the status matters.
+            if (field.toLowerCase(Locale.ROOT).startsWith("retry-after:")) {
+                retryAfter = field.substring(field.indexOf(':') + 1).trim();
+            }
         }
         return Integer.parseInt(line.split(" ")[1]);
     }
 
+    /** Gets the pause that the last head asked for, in milliseconds; 0 if it named none. */
+    public long retryAfterMillis() {
+        return retryAfter.isEmpty() ? 0 : (long) (1_000 * Double.parseDouble(retryAfter));
+    }
+
     /** Reads a chunk; returns an empty text for the last one, and null if the connection ended before. */
     public String readChunk() throws IOException {
         ByteArrayOutputStream chunk = new ByteArrayOutputStream();
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -89,12 +89,19 @@
         return revision;
     }
 
-    /** Breaks off all calls until {@link #comeBack}. */
+    /** Breaks off all calls until the store comes back. */
     public synchronized void goAway() {
         away = true;
         notifyAll();
     }
 
+    /** Serves again, with all that it had; leases have paused. */
+    public synchronized void comeBack() {
+        leases.values().forEach(Lease::renew);
+        away = false;
+        notifyAll();
+    }
+
     /** Serves again, from a copy of the given age and under the next era. */
     public synchronized void comeBack(long copyAgeMillis) {
         long copyNanos = System.nanoTime() - copyAgeMillis * 1_000_000L;
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -12,6 +12,8 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * A stand-in of a worker. It answers 421 to a request for another instance, and passes all others to its handler.
@@ -74,11 +76,18 @@
     public String version = "v1";
     private final ServerSocket server;
     private final Handler handler;
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final long born = System.currentTimeMillis();
     private long sequence;
 
     public Worker(String id, String service, String zone, String host, int receiveBuffer, Handler handler)
             throws IOException {
+        this(id, service, zone, new InetSocketAddress(host, 0), receiveBuffer, handler);
+    }
+
+    private Worker(
+            String id, String service, String zone, InetSocketAddress listen, int receiveBuffer, Handler handler)
+            throws IOException {
         this.id = id;
         this.service = service;
         this.zone = zone;
@@ -87,7 +96,7 @@
         if (receiveBuffer > 0) {
             server.setReceiveBufferSize(receiveBuffer);
         }
-        server.bind(new InetSocketAddress(host, 0), 200);
+        server.bind(listen, 200);
         this.address = (InetSocketAddress) server.getLocalSocketAddress();
         start(this::accept);
     }
@@ -99,6 +108,22 @@
                 + "\",\"cold_remaining_ms\":0,\"sequence\":" + ++sequence + ",\"born\":" + born + "}";
     }
 
+    /** Ends the worker: resets its connections and stops listening. */
+    public void crash() throws IOException {
+        server.close();
+        for (Socket socket : connections) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
+    /** Starts the worker again under its id and at its address, after {@link #crash}. */
+    public Worker restart(Handler newHandler, String newVersion) throws IOException {
+        Worker worker = new Worker(id, service, zone, address, 0, newHandler);
+        worker.version = newVersion;
+        return worker;
+    }
+
     private static void start(Runnable task) {
         Thread thread = new Thread(task, "worker");
         thread.setDaemon(true);
@@ -110,6 +135,7 @@
             try {
                 Socket socket = server.accept();
                 socket.setTcpNoDelay(true);
+                connections.add(socket);
                 start(() -> serve(socket));
             } catch (IOException e) {
                 return;
@@ -136,6 +162,8 @@
             }
         } catch (Exception e) {
             // The caller closed the connection.
+        } finally {
+            connections.remove(socket);
         }
     }
 
