--- a/review/1/StoreDrill.java
+++ b/review/1/StoreDrill.java
@@ -40,13 +40,17 @@
         return true;
     }
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
+        Verdict.exitWith(StoreDrill::check);
+    }
+
+    private static int check() throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         List<String> hosts = Deployment.findHosts(5);
         InetSocketAddress storeAddress = new InetSocketAddress(hosts.get(3), 8624);
         try (Record record = new Record("review/1/record.txt");
                 Deployment deployment = new Deployment(storeAddress)) {
-            System.exit(run(trouble, hosts, storeAddress, deployment, record));
+            return run(trouble, hosts, storeAddress, deployment, record);
         }
     }
 
@@ -122,6 +126,6 @@
         record.write(stale + " requests sent later than " + CONFIG_APPLY_MILLIS
                 + " ms after the ack ran at svc-a, to which only version 1 sends them");
         System.out.println("stale: " + stale + " of " + served + " " + counts);
-        return served == 0 ? 2 : stale > 0 ? 1 : 0;
+        return served == 0 ? Verdict.COULD_NOT_RUN : stale > 0 ? Verdict.BROKEN : Verdict.HELD;
     }
 }
