--- a/review/2/ResetWithinBody.java
+++ b/review/2/ResetWithinBody.java
@@ -59,13 +59,17 @@
         return false;
     }
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
+        Verdict.exitWith(ResetWithinBody::check);
+    }
+
+    private static int check() throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         List<String> hosts = Deployment.findHosts(3);
         InetSocketAddress storeAddress = new InetSocketAddress(hosts.get(1), 8624);
         try (Record record = new Record("review/2/record.txt");
                 Deployment deployment = new Deployment(storeAddress)) {
-            System.exit(run(trouble, hosts, storeAddress, deployment, record));
+            return run(trouble, hosts, storeAddress, deployment, record);
         }
     }
 
@@ -104,6 +108,6 @@
                 + served + " got the whole body; " + resets.get() + " answers were reset");
         System.out.println("truncated successes: " + truncated + ", whole: " + served + ", resets: " + resets.get());
         boolean ran = trouble ? resets.get() > 0 : served > 0;
-        return !ran ? 2 : truncated > 0 ? 1 : 0;
+        return !ran ? Verdict.COULD_NOT_RUN : truncated > 0 ? Verdict.BROKEN : Verdict.HELD;
     }
 }
