--- a/review/4/LastKeyRevoked.java
+++ b/review/4/LastKeyRevoked.java
@@ -34,13 +34,17 @@
                 + "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"" + TENANT + "\",\"api_keys\":[" + keys + "]}]}";
     }
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
+        Verdict.exitWith(LastKeyRevoked::check);
+    }
+
+    private static int check() throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         List<String> hosts = Deployment.findHosts(4);
         InetSocketAddress storeAddress = new InetSocketAddress(hosts.get(2), 8624);
         try (Record record = new Record("review/4/record.txt");
                 Deployment deployment = new Deployment(storeAddress)) {
-            System.exit(run(trouble, hosts, storeAddress, deployment, record));
+            return run(trouble, hosts, storeAddress, deployment, record);
         }
     }
 
@@ -72,6 +76,7 @@
         pings.start();
         deployment.start(hosts.subList(0, 2), "lim-a");
         Client.sleep(STEADY_MILLIS);
+        int before = send(deployment, LAST_KEY, "valid key", ran, record, record.millis());
         store.put("op/config", config(2, quote(LAST_KEY)));
         record.write("the store acknowledges version 2: the first key of " + TENANT + " is taken away");
         Client.sleep(1_500);
@@ -83,15 +88,16 @@
         Client.sleep(2 * CONFIG_APPLY_MILLIS);
         int revoked = send(deployment, trouble ? LAST_KEY : FIRST_KEY, "revoked key", ran, record, ackMillis);
         int unknown = send(deployment, UNKNOWN_KEY, "key of no configuration", ran, record, ackMillis);
-        int valid = trouble ? 0 : send(deployment, LAST_KEY, "valid key", ran, record, ackMillis);
+        int valid = trouble ? before : send(deployment, LAST_KEY, "valid key", ran, record, ackMillis);
         record.write("ran: " + revoked + " requests with a revoked key and " + unknown
-                + " with a key that no configuration ever held" + (trouble ? "" : "; " + valid + " with a valid key"));
+                + " with a key that no configuration ever held; " + valid + " with a valid key"
+                + (trouble ? ", before the keys were taken away" : ""));
         System.out.println("ran with a revoked key: " + revoked + ", with a key of no configuration: " + unknown
-                + (trouble ? "" : ", with a valid key: " + valid));
-        if (!trouble && valid == 0) {
-            return 2;
+                + ", with a valid key" + (trouble ? " before" : "") + ": " + valid);
+        if (valid == 0) {
+            return Verdict.COULD_NOT_RUN;
         }
-        return revoked + unknown > 0 ? 1 : 0;
+        return revoked + unknown > 0 ? Verdict.BROKEN : Verdict.HELD;
     }
 
     private static String quote(String key) {
