--- a/review/5/EndlessBody.java
+++ b/review/5/EndlessBody.java
@@ -35,6 +35,7 @@
     private final AtomicInteger unansweredAfterSlack = new AtomicInteger();
     private final AtomicInteger wholeStreams = new AtomicInteger();
     private final AtomicBoolean faulty = new AtomicBoolean();
+    private final AtomicBoolean endlessSent = new AtomicBoolean();
 
     private EndlessBody() {}
 
@@ -70,6 +71,7 @@
         int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
         for (int id = first; id <= EVENTS; id++) {
             if (endless && id == first + EVENTS_BEFORE_FAULT) {
+                endlessSent.set(true);
                 sendEmptyLines(request, worker, record);
                 return false;
             }
@@ -96,13 +98,17 @@
         }
     }
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
+        Verdict.exitWith(EndlessBody::check);
+    }
+
+    private static int check() throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         List<String> hosts = Deployment.findHosts(3);
         InetSocketAddress storeAddress = new InetSocketAddress(hosts.get(1), 8624);
         try (Record record = new Record("review/5/record.txt");
                 Deployment deployment = new Deployment(storeAddress)) {
-            System.exit(new EndlessBody().run(trouble, hosts, storeAddress, deployment, record));
+            return new EndlessBody().run(trouble, hosts, storeAddress, deployment, record);
         }
     }
 
@@ -146,7 +152,8 @@
                 + " ms later; whole streams: " + wholeStreams.get());
         boolean broken = unansweredAtTimeout.get() >= MIN_UNANSWERED
                 && 2 * unansweredAfterSlack.get() > unansweredAtTimeout.get();
-        return answered.get() == 0 ? 2 : broken ? 1 : 0;
+        boolean ran = answered.get() > 0 && endlessSent.get() == trouble;
+        return !ran ? Verdict.COULD_NOT_RUN : broken ? Verdict.BROKEN : Verdict.HELD;
     }
 
     private static Thread start(Runnable task) {
