Order the states of the store by its era, so that a drill loses no change

Cause: states of the store were ordered by their revision alone. After a return from an older copy revisions are given out again. The instances that poll got status 410 and went back; the ones that follow them kept the higher revision and dropped each later change up to it, while the reports confirmed them. Class: a number that is unique only within one life of its issuer is compared beyond it.

Evidence: state.changed_by_peer is missing at the follower while store.history_gone stands at the watchers.

Change: StorePosition holds era and revision; the copy of the store and every message between instances that names a revision use it.

Why it works: eras only rise, and revisions rise within an era, so that of two positions the later one is known without asking the store; a follower that meets a later era asks for the state, and takes it although its revision is lower.

--- a/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
@@ -9,6 +9,7 @@
 import org.fuchsiawharf.core.pieces.StageBacklog;
 import org.fuchsiawharf.core.quarantine.CrashEvidence;
 import org.fuchsiawharf.core.store.StoreItem;
+import org.fuchsiawharf.core.store.StorePosition;
 
 /**
  * A message from one instance to another.
@@ -79,10 +80,10 @@
     /**
      * Forwards the entries of the store to an instance that cannot read the store.
      *
-     * @param revision the store revision at which the entries were read
+     * @param asOf the position of the store at which the entries were read
      * @param entries the values by key; the arrays must not be modified
      */
-    record PassEntries(long revision, Map<String, byte[]> entries) implements PeerMessage {
+    record PassEntries(StorePosition asOf, Map<String, byte[]> entries) implements PeerMessage {
         /** Makes the map immutable. */
         public PassEntries {
             entries = Map.copyOf(entries);
@@ -90,23 +91,24 @@
     }
 
     /**
-     * Requests the entries of the store from the receiver if the receiver has a later revision.
+     * Requests the entries of the store from the receiver if the receiver has a later position.
      *
-     * @param revision the latest store revision known to the sender, -1 if none
+     * @param known the latest position of the store known to the sender
      * @param follow whether the sender wants to be told of later changes too, for some seconds
      */
-    record AskState(long revision, boolean follow) implements PeerMessage {}
+    record AskState(StorePosition known, boolean follow) implements PeerMessage {}
 
     /**
      * Reports the changes in one response of the store to an instance that follows the sender.
      *
-     * @param after the store revision after which the changes were made
-     * @param revision the store revision up to which the changes are complete
+     * @param after the position of the store after which the changes were made
+     * @param revision the revision, of the same era, up to which the changes are complete
      * @param changes the changes in the order of the store, empty if there were none
      * @param afterOutage whether a removed entry may reappear, because the store was unreachable shortly before
      * @param catchUp whether the sender answers a request with what it knew before, which confirms nothing of the store
      */
-    record StoreChanges(long after, long revision, List<StoreItem> changes, boolean afterOutage, boolean catchUp)
+    record StoreChanges(
+            StorePosition after, long revision, List<StoreItem> changes, boolean afterOutage, boolean catchUp)
             implements PeerMessage {
         /** Makes the list immutable. */
         public StoreChanges {
--- a/core/src/main/java/org/fuchsiawharf/core/store/StoreCopy.java
+++ b/core/src/main/java/org/fuchsiawharf/core/store/StoreCopy.java
@@ -10,11 +10,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A copy of the items of the store, complete up to a revision, with the latest changes.
+ * A copy of the items of the store, complete up to a position, with the latest changes.
  *
  * <p>Changes may be applied from several sources, which report them in different order and more than once: a change
- * that the copy contains is not applied again, and one that would leave a gap is not applied. The revision decreases
- * only with a listing that replaces a lost history. Confined to the decision loop.
+ * that the copy contains is not applied again, and one that would leave a gap or belongs to another era of the store is
+ * not applied. The revision decreases only with a listing of a later era or one that replaces a lost history. Confined
+ * to the decision loop.
  */
 public final class StoreCopy {
     /** Number of changes kept for instances that are behind; one further behind is sent the whole copy. */
@@ -23,18 +24,18 @@
     private final Map<String, byte[]> values = new HashMap<>();
     private final Deque<StoreItem> history = new ArrayDeque<>();
     private long historyStart = -1;
-    private long revision = -1;
+    private StorePosition position = StorePosition.UNKNOWN;
 
-    /** Creates an empty copy of an unknown revision. */
+    /** Creates an empty copy of an unknown position. */
     public StoreCopy() {}
 
     /**
-     * Gets the revision up to which the copy is complete.
+     * Gets the position up to which the copy is complete.
      *
-     * @return the revision, -1 if nothing is known
+     * @return the position, never null
      */
-    public long getRevision() {
-        return revision;
+    public StorePosition getPosition() {
+        return position;
     }
 
     /**
@@ -47,59 +48,63 @@
     }
 
     /**
-     * Gets the changes after a revision.
+     * Gets the changes after a position.
      *
-     * @param after the revision
-     * @return the changes in the order of the store, null if they are no longer known
+     * @param after the position, not null
+     * @return the changes in the order of the store, null if they are not known
      */
-    public @Nullable List<StoreItem> getChangesSince(long after) {
-        if (historyStart < 0 || after < historyStart) {
+    public @Nullable List<StoreItem> getChangesSince(StorePosition after) {
+        if (historyStart < 0 || after.era() != position.era() || after.revision() < historyStart) {
             return null;
         }
-        return history.stream().filter(item -> item.revision() > after).toList();
+        return history.stream()
+                .filter(item -> item.revision() > after.revision())
+                .toList();
     }
 
     /**
      * Replaces the copy with a complete listing.
      *
      * @param items every item, not null
-     * @param asOf the revision of the listing
-     * @param historyLost whether the listing replaces a later copy too, since its history is lost
+     * @param asOf the position of the listing, not null
+     * @param historyLost whether the listing replaces a later copy of its era too, since its history is lost
      * @return false if the copy is later than the listing and was kept
      */
-    public boolean replace(Iterable<StoreItem> items, long asOf, boolean historyLost) {
-        if (asOf < revision && !historyLost) {
+    public boolean replace(Iterable<StoreItem> items, StorePosition asOf, boolean historyLost) {
+        boolean isReplaceable = historyLost && asOf.era() == position.era();
+        if (asOf.compareTo(position) < 0 && !isReplaceable) {
             return false;
         }
         values.clear();
         history.clear();
         items.forEach(this::update);
-        revision = asOf;
-        historyStart = asOf;
+        position = asOf;
+        historyStart = asOf.revision();
         return true;
     }
 
     /**
-     * Applies the changes between two revisions.
+     * Applies the changes between two revisions of one era.
      *
-     * @param after the revision after which the changes are complete
+     * @param after the position after which the changes are complete, not null
      * @param asOf the revision up to which the changes are complete
      * @param items the changes in the order of the store, not null
-     * @return the changes that the copy did not contain; null if changes before them are missing and none was applied
+     * @return the changes that the copy did not contain; null if changes before them are missing, or they belong to
+     *     another era, and none was applied
      */
-    public @Nullable List<StoreItem> apply(long after, long asOf, List<StoreItem> items) {
-        if (after > revision) {
+    public @Nullable List<StoreItem> apply(StorePosition after, long asOf, List<StoreItem> items) {
+        if (after.era() != position.era() || after.revision() > position.revision()) {
             return null;
         }
         List<StoreItem> applied = new ArrayList<>();
         for (StoreItem item : items) {
-            if (item.revision() > revision) {
+            if (item.revision() > position.revision()) {
                 update(item);
                 remember(item);
                 applied.add(item);
             }
         }
-        revision = Math.max(revision, asOf);
+        position = position.withRevision(Math.max(position.revision(), asOf));
         return applied;
     }
 
--- a/core/src/main/java/org/fuchsiawharf/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/fuchsiawharf/core/stream/StreamOrigins.java
@@ -101,6 +101,13 @@
         return history;
     }
 
+    /** Writes again what the store has lost, after it has returned from an older copy. */
+    public void onStoreRestored() {
+        history.onStoreRestored();
+        streams.values().forEach(stream -> stream.stored = false);
+        scheduleWrite();
+    }
+
     // -----------------------------------------------------------------------
 
     /**
--- a/core/src/main/java/org/fuchsiawharf/core/stream/VersionHistory.java
+++ b/core/src/main/java/org/fuchsiawharf/core/stream/VersionHistory.java
@@ -35,6 +35,12 @@
         private Set<String> stored = Set.of();
         private long revision;
         private boolean storedKnown;
+
+        private void forgetStored() {
+            stored = Set.of();
+            revision = 0;
+            storedKnown = false;
+        }
     }
 
     /**
@@ -96,6 +102,25 @@
         onChanged.run();
     }
 
+    /**
+     * Applies the removal of the versions of a service from the store; they are written again if callers may still have
+     * streams of them.
+     *
+     * @param service the name of the service, not null
+     */
+    public void onRemoved(String service) {
+        ServiceVersions known = services.get(service);
+        if (known != null) {
+            known.forgetStored();
+            onChanged.run();
+        }
+    }
+
+    /** Forgets what the store holds, before it is listed anew because it has returned from an older copy. */
+    void onStoreRestored() {
+        services.values().forEach(ServiceVersions::forgetStored);
+    }
+
     /**
      * Gets the only version of a service from which callers may have streams.
      *
--- a/core/src/test/java/org/fuchsiawharf/core/store/TestStoreCopy.java
+++ b/core/src/test/java/org/fuchsiawharf/core/store/TestStoreCopy.java
@@ -11,10 +11,16 @@
 import static org.hamcrest.Matchers.nullValue;
 
 class TestStoreCopy {
+    private static final long ERA = 3;
+
     private final StoreCopy copy = new StoreCopy();
 
     TestStoreCopy() {
-        copy.replace(List.of(item("a", 5), item("b", 7)), 10, false);
+        copy.replace(List.of(item("a", 5), item("b", 7)), at(10), false);
+    }
+
+    private static StorePosition at(long revision) {
+        return new StorePosition(ERA, revision);
     }
 
     private static StoreItem item(String key, long revision) {
@@ -29,49 +35,71 @@
     void appliesEachChangeOnceWhenTwoSourcesReportIt() {
         StoreItem removed = removal("a", 11);
         StoreItem written = item("a", 12);
-        assertThat(copy.apply(10, 12, List.of(removed, written)), is(List.of(removed, written)));
-        assertThat(copy.apply(10, 11, List.of(removed)), is(List.of()));
+        assertThat(copy.apply(at(10), 12, List.of(removed, written)), is(List.of(removed, written)));
+        assertThat(copy.apply(at(10), 11, List.of(removed)), is(List.of()));
         assertThat(copy.getValues().keySet(), containsInAnyOrder("a", "b"));
-        assertThat(copy.getRevision(), is(12L));
+        assertThat(copy.getPosition().revision(), is(12L));
     }
 
     @Test
     void appliesNothingAfterGap() {
-        assertThat(copy.apply(11, 12, List.of(item("c", 12))), is(nullValue()));
-        assertThat(copy.getRevision(), is(10L));
+        assertThat(copy.apply(at(11), 12, List.of(item("c", 12))), is(nullValue()));
+        assertThat(copy.getPosition().revision(), is(10L));
         assertThat(copy.getValues().keySet(), containsInAnyOrder("a", "b"));
     }
 
     // A listing that was overtaken by reported changes brought removed items back.
     @Test
     void keepsLaterCopyWhenListingIsOlder() {
-        copy.apply(10, 11, List.of(removal("a", 11)));
-        assertThat(copy.replace(List.of(item("a", 5), item("b", 7)), 10, false), is(false));
+        copy.apply(at(10), 11, List.of(removal("a", 11)));
+        assertThat(copy.replace(List.of(item("a", 5), item("b", 7)), at(10), false), is(false));
         assertThat(copy.getValues().keySet(), containsInAnyOrder("b"));
     }
 
     @Test
     void takesOlderListingWhenHistoryIsLost() {
-        assertThat(copy.replace(List.of(item("b", 3)), 4, true), is(true));
-        assertThat(copy.getRevision(), is(4L));
+        assertThat(copy.replace(List.of(item("b", 3)), at(4), true), is(true));
+        assertThat(copy.getPosition().revision(), is(4L));
         assertThat(copy.getValues().keySet(), containsInAnyOrder("b"));
     }
 
+    // After a drill of the store, all changes up to the revision before the drill were dropped.
+    @Test
+    void listingOfLaterEraReplacesCopyOfHigherRevision() {
+        StorePosition restored = new StorePosition(ERA + 1, 4);
+        assertThat(copy.replace(List.of(item("b", 3)), restored, false), is(true));
+        assertThat(copy.getPosition(), is(restored));
+        StoreItem written = item("c", 5);
+        assertThat(copy.apply(restored, 5, List.of(written)), is(List.of(written)));
+        assertThat(copy.getValues().keySet(), containsInAnyOrder("b", "c"));
+    }
+
+    // Revisions are given out again after a drill, so that equal ones of two eras name different changes.
+    @Test
+    void appliesNothingOfAnotherEra() {
+        for (long era : List.of(ERA - 1, ERA + 1)) {
+            assertThat(copy.apply(new StorePosition(era, 10), 12, List.of(item("c", 12))), is(nullValue()));
+            assertThat(copy.getChangesSince(new StorePosition(era, 10)), is(nullValue()));
+        }
+        assertThat(copy.replace(List.of(), new StorePosition(ERA - 1, 99), true), is(false));
+        assertThat(copy.getPosition(), is(at(10)));
+    }
+
     @Test
     void knowsChangesSinceListingOnly() {
         StoreItem last = item("d", 13);
-        copy.apply(10, 13, List.of(item("c", 12), last));
-        assertThat(copy.getChangesSince(12), is(List.of(last)));
-        assertThat(copy.getChangesSince(9), is(nullValue()));
-        assertThat(new StoreCopy().getChangesSince(-1), is(nullValue()));
+        copy.apply(at(10), 13, List.of(item("c", 12), last));
+        assertThat(copy.getChangesSince(at(12)), is(List.of(last)));
+        assertThat(copy.getChangesSince(at(9)), is(nullValue()));
+        assertThat(new StoreCopy().getChangesSince(at(-1)), is(nullValue()));
     }
 
     @Test
     void forgetsOldestChanges() {
         for (int i = 0; i < 600; i++) {
-            copy.apply(10 + i, 11 + i, List.of(item("c", 11 + i)));
+            copy.apply(at(10 + i), 11 + i, List.of(item("c", 11 + i)));
         }
-        assertThat(copy.getChangesSince(10), is(nullValue()));
-        assertThat(copy.getChangesSince(600), hasSize(10));
+        assertThat(copy.getChangesSince(at(10)), is(nullValue()));
+        assertThat(copy.getChangesSince(at(600)), hasSize(10));
     }
 }
--- a/core/src/test/java/org/fuchsiawharf/core/stream/TestStreamOrigins.java
+++ b/core/src/test/java/org/fuchsiawharf/core/stream/TestStreamOrigins.java
@@ -142,6 +142,21 @@
         assertThat(unknown, contains(UNKNOWN));
     }
 
+    // After a drill of the store, instances that started later did not know the version that had left.
+    @Test
+    void versionsAndOriginsAreWrittenAgainAfterStoreHasLostThem() {
+        list("v1", "v2");
+        history.onStored(SERVICE, Set.of("v1", "v2"), 9);
+        origins.onBegun("r1", V1, false);
+        advance(200);
+        writes.clear();
+        origins.onStoreRestored();
+        assertThat(history.getSoleVersion(SERVICE), is(nullValue()));
+        advance(3_000);
+        assertThat(writes, contains(Map.of("r1", V1)));
+        assertThat(versionWrites.get(0), is(Set.of("v1", "v2")));
+    }
+
     @Test
     void versionIsRemovedAMinuteAfterItHasLeft() {
         list("v1", "v2");
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -9,6 +9,7 @@
 import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.pieces.StageBacklog;
 import org.fuchsiawharf.core.store.StoreItem;
+import org.fuchsiawharf.core.store.StorePosition;
 import org.fuchsiawharf.core.time.Clock;
 import org.fuchsiawharf.peer.generated.PeerProto;
 import org.jspecify.annotations.Nullable;
@@ -51,15 +52,18 @@
         } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
             frame.setHeartbeat(encodeHeartbeat(heartbeat));
         } else if (message instanceof PeerMessage.PassEntries pass) {
-            PeerProto.PassEntries.Builder builder =
-                    PeerProto.PassEntries.newBuilder().setRevision(pass.revision());
+            PeerProto.PassEntries.Builder builder = PeerProto.PassEntries.newBuilder()
+                    .setRevision(pass.asOf().revision())
+                    .setEra(pass.asOf().era());
             pass.entries()
                     .forEach((key, value) -> builder.addEntries(
                             PeerProto.Entry.newBuilder().setKey(key).setValue(ByteString.copyFrom(value))));
             frame.setEntries(builder);
         } else if (message instanceof PeerMessage.AskState ask) {
-            frame.setAskState(
-                    PeerProto.AskState.newBuilder().setRevision(ask.revision()).setFollow(ask.follow()));
+            frame.setAskState(PeerProto.AskState.newBuilder()
+                    .setRevision(ask.known().revision())
+                    .setEra(ask.known().era())
+                    .setFollow(ask.follow()));
         } else if (message instanceof PeerMessage.StoreChanges changes) {
             frame.setChanges(encodeChanges(changes));
         } else if (message instanceof PeerMessage.ShareEvidence evidence) {
@@ -90,7 +94,10 @@
             case ENTRIES -> decodeEntries(frame.getEntries());
             case ASK_STATE ->
                 new PeerMessage.AskState(
-                        frame.getAskState().getRevision(), frame.getAskState().getFollow());
+                        new StorePosition(
+                                frame.getAskState().getEra(),
+                                frame.getAskState().getRevision()),
+                        frame.getAskState().getFollow());
             case CHANGES -> decodeChanges(frame.getChanges());
             case EVIDENCE -> EvidenceCodec.decode(frame.getEvidence());
             case HELLO, KIND_NOT_SET -> null;
@@ -130,12 +137,13 @@
         Map<String, byte[]> entries = new HashMap<>();
         pass.getEntriesList()
                 .forEach(entry -> entries.put(entry.getKey(), entry.getValue().toByteArray()));
-        return new PeerMessage.PassEntries(pass.getRevision(), entries);
+        return new PeerMessage.PassEntries(new StorePosition(pass.getEra(), pass.getRevision()), entries);
     }
 
     private static PeerProto.StoreChanges.Builder encodeChanges(PeerMessage.StoreChanges message) {
         PeerProto.StoreChanges.Builder builder = PeerProto.StoreChanges.newBuilder()
-                .setAfter(message.after())
+                .setEra(message.after().era())
+                .setAfter(message.after().revision())
                 .setRevision(message.revision())
                 .setAfterOutage(message.afterOutage())
                 .setCatchUp(message.catchUp());
@@ -161,6 +169,10 @@
                         change.getRemoved() ? null : change.getValue().toByteArray()))
                 .toList();
         return new PeerMessage.StoreChanges(
-                message.getAfter(), message.getRevision(), changes, message.getAfterOutage(), message.getCatchUp());
+                new StorePosition(message.getEra(), message.getAfter()),
+                message.getRevision(),
+                changes,
+                message.getAfterOutage(),
+                message.getCatchUp());
     }
 }
--- a/peer/src/test/java/org/fuchsiawharf/peer/TestPeerCodec.java
+++ b/peer/src/test/java/org/fuchsiawharf/peer/TestPeerCodec.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -15,6 +16,7 @@
 import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.quarantine.CrashEvidence;
 import org.fuchsiawharf.core.quarantine.Suspect;
+import org.fuchsiawharf.core.store.StorePosition;
 import org.fuchsiawharf.peer.generated.PeerProto;
 import org.junit.jupiter.api.Test;
 
@@ -161,10 +163,19 @@
         assertThat(codec.decode(codec.encode(message, PieceCodec.GROUPS_VERSION)), is(message));
     }
 
+    @Test
+    void positionsOfTheStoreAreReadAsWritten() {
+        StorePosition position = new StorePosition(2, 3);
+        for (PeerMessage message :
+                List.of(new PeerMessage.AskState(position, true), new PeerMessage.PassEntries(position, Map.of()))) {
+            assertThat(codec.decode(codec.encode(message, PieceCodec.GROUPS_VERSION)), is(message));
+        }
+    }
+
     @Test
     void catchUpReplyIsReadAsWritten() {
         for (boolean catchUp : new boolean[] {true, false}) {
-            PeerMessage message = new PeerMessage.StoreChanges(3, 4, List.of(), true, catchUp);
+            PeerMessage message = new PeerMessage.StoreChanges(new StorePosition(2, 3), 4, List.of(), true, catchUp);
             assertThat(codec.decode(codec.encode(message, PieceCodec.GROUPS_VERSION)), is(message));
         }
     }
