Take a response without a length as complete only at the regular end of its connection

Cause: a body without a length ended with its connection, and each end of the connection counted as regular unless a read had failed. While a request is being written the reset is met by the write; Netty then fails the write and closes the channel without an exception event. Class: success is concluded from the absence of a known failure.

Evidence: TestResponseEnd.resetWhileRequestIsWrittenLeavesResponseIncomplete failed before ("complete"), while the same reset after the request was written gave LOST.

Change: the client's channels allow half closure, so that the end of the server's side is an event. Only after that event is a body without a length complete. It concerns streams, calls of stages and calls of the store alike, which use the same client.

Why it works: a reset, a failed write and a failed probe of the connection raise no such event, so that completeness rests on what the server did, not on which failure was noticed.

--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
@@ -23,7 +24,8 @@
  * <p>A successful response must carry the id of the current call; a response with another id is a late duplicate
  * response to an earlier request and is skipped. The connection is not reused after such a response, after bytes that
  * belong to no call, after a failed or cancelled call, after a response that closes the connection, or after a response
- * that arrived before the request was completely written. A call fails as garbage if too many bytes arrive that are
+ * that arrived before the request was completely written. A body without a length is complete only if the server has
+ * closed its side in order: a reset may be met by a write, which reports no failed read. A call fails as garbage if too many bytes arrive that are
  * neither the head nor the body of its response, or if the response exceeds the maximum size of the call. Confined to
  * the I/O thread.
  */
@@ -212,7 +214,7 @@
         if (content.content().isReadable()) {
             openCall.getListener().onData(content.content());
         }
-        if (last && readFailed) {
+        if (last && (readFailed || decoder.isAborted())) {
             fail(CallFailure.LOST, "the connection was reset within the body");
         } else if (last) {
             responseComplete = true;
@@ -229,6 +231,9 @@
         if (event == ResponseDecoder.READ_DECODED && !responseComplete) {
             checkReceivedBytes();
         }
+        if (event instanceof ChannelInputShutdownEvent) {
+            close();
+        }
         context.fireUserEventTriggered(event);
     }
 
@@ -249,7 +254,7 @@
             currentCall = null;
             skippingResponse = false;
             idleSinceNanos = System.nanoTime();
-            if (reuseForbidden || decoder.hasUnparsedBytes() || !channel.isActive()) {
+            if (reuseForbidden || decoder.hasUnparsedBytes() || decoder.isInputEnded() || !channel.isActive()) {
                 channel.close();
             } else {
                 channel.config().setAutoRead(true);
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/HttpClient.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/HttpClient.java
@@ -10,6 +10,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -52,6 +53,8 @@
         this.meters = meters;
         this.bootstrap = new Bootstrap().group(io.getGroup()).channel(NioSocketChannel.class);
         SocketOptions.apply(bootstrap, CONNECT_TIMEOUT_MILLIS);
+        // The end of the server's side is then reported as an event, apart from failures of the connection.
+        bootstrap.option(ChannelOption.ALLOW_HALF_CLOSURE, true);
     }
 
     /**
--- /dev/null
+++ b/relay/src/test/java/org/fuchsiawharf/relay/client/TestResponseEnd.java
@@ -0,0 +1,119 @@
+package org.fuchsiawharf.relay.client;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.fuchsiawharf.core.port.CallFailure;
+import org.fuchsiawharf.relay.IoThread;
+import org.fuchsiawharf.relay.instance.MicrometerMeters;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** Ends responses without a length in different ways, on raw sockets. */
+class TestResponseEnd {
+    private static final int RESETS = 10;
+    /** More than the buffers of the connection hold. */
+    private static final int LARGE_BODY_BYTES = 8 << 20;
+
+    private static final String RESPONSE = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\npart of the body";
+
+    private final IoThread io = new IoThread();
+    private final HttpClient client = new HttpClient(io, "Request-Id", new MicrometerMeters());
+    private final ServerSocket server;
+
+    /** Ends the response after its head and a part of its body. */
+    private interface Ending {
+        void end(Socket socket) throws Exception;
+    }
+
+    TestResponseEnd() throws Exception {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        server.close();
+        io.close();
+    }
+
+    // Sends a request, starts its response while at most a part of the request has been read, and gets the outcome.
+    private String exchange(int requestBytes, Ending ending) throws Exception {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+        head.headers().set("Content-Length", requestBytes);
+        HttpCall call = new HttpCall(
+                new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+                head,
+                Unpooled.wrappedBuffer(new byte[requestBytes]),
+                "r1",
+                0,
+                1,
+                HttpCall.UNLIMITED_BYTES);
+        client.send(call, new Outcome(outcome));
+        try (Socket socket = server.accept()) {
+            socket.getInputStream().read(new byte[1_000]);
+            socket.getOutputStream().write(RESPONSE.getBytes(StandardCharsets.US_ASCII));
+            Thread.sleep(20);
+            ending.end(socket);
+            return outcome.get(20, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void reset(Socket socket) throws Exception {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    private record Outcome(CompletableFuture<String> result) implements ResponseListener {
+        @Override
+        public void onHead(int status, HttpHeaders fields) {}
+
+        @Override
+        public void onData(ByteBuf data) {}
+
+        @Override
+        public void onComplete() {
+            result.complete("complete");
+        }
+
+        @Override
+        public void onFailed(CallFailure failure, String detail) {
+            result.complete(failure.name());
+        }
+    }
+
+    // -----------------------------------------------------------------------
+
+    // The reset was met by the pending write of the request, and the part that had arrived was passed on as complete.
+    @Test
+    void resetWhileRequestIsWrittenLeavesResponseIncomplete() throws Exception {
+        for (int i = 0; i < RESETS; i++) {
+            assertThat(exchange(LARGE_BODY_BYTES, TestResponseEnd::reset), is("LOST"));
+        }
+    }
+
+    @Test
+    void resetAfterRequestIsWrittenLeavesResponseIncomplete() throws Exception {
+        assertThat(exchange(10, TestResponseEnd::reset), is("LOST"));
+    }
+
+    @Test
+    void regularEndOfConnectionCompletesResponse() throws Exception {
+        assertThat(exchange(10, Socket::close), is("complete"));
+        assertThat(exchange(LARGE_BODY_BYTES, Socket::shutdownOutput), is("complete"));
+    }
+}
