Forward the small events of a stream together, and count empty lines as no events

Cause: each empty line was an event, and each event a write and a flush of its own and a copy of the response head, 1 MB of them in one turn of the only I/O thread. Class: a cost for each unit that the sender may make as small as it likes.

Change: empty lines belong to the event that follows, within the bound of an event's size; the events of one read are written as one chunk; the head is copied once; a connection is read four times at most before the others get their turn. Request bodies in small chunks are collected in one buffer, as a composite one merged them again and again.

Why it works: the work for a read is bounded by its bytes, with one write, and a turn by four reads, so that other connections are served however small the units are. Lines that never become an event end the call at 1 MB.

--- a/relay/src/main/java/org/fuchsiawharf/relay/SocketOptions.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/SocketOptions.java
@@ -1,7 +1,9 @@
 package org.fuchsiawharf.relay;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
 import jdk.net.ExtendedSocketOptions;
 
@@ -18,8 +20,21 @@
     /** Unanswered probes after which the connection is closed; two, so that one lost packet is tolerated. */
     private static final int KEEP_ALIVE_PROBES = 2;
 
+    /** Reads of a connection before others get their turn; a read returns up to 64 KB. */
+    private static final int MAX_READS_PER_TURN = 4;
+
     private SocketOptions() {}
 
+    /**
+     * Creates the allocator of receive buffers, which bounds how much of one connection is read before the other
+     * connections of the I/O thread get their turn.
+     *
+     * @return a new allocator, never null
+     */
+    public static RecvByteBufAllocator createReceiveAllocator() {
+        return new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TURN);
+    }
+
     /**
      * Sets the options of the connections that a bootstrap opens.
      *
@@ -30,6 +45,7 @@
         bootstrap
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, createReceiveAllocator())
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -229,6 +229,10 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event == ResponseDecoder.READ_DECODED && !responseComplete) {
+            OpenCall openCall = currentCall;
+            if (openCall != null && !openCall.isEnded()) {
+                openCall.getListener().onReadEnd();
+            }
             checkReceivedBytes();
         }
         if (event instanceof ChannelInputShutdownEvent) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ResponseListener.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ResponseListener.java
@@ -26,6 +26,9 @@
      */
     void onData(ByteBuf data);
 
+    /** Called after the parts of the body that one read has returned, unless the response has ended. */
+    default void onReadEnd() {}
+
     /** Called when the response is complete. */
     void onComplete();
 
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
@@ -6,7 +6,6 @@
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -50,7 +49,7 @@
     private final Deque<Object> pendingParts = new ArrayDeque<>();
     private @Nullable ChannelHandlerContext channelContext;
     private @Nullable HttpRequest requestHead;
-    private @Nullable CompositeByteBuf requestBody;
+    private @Nullable ByteBuf requestBody;
     private @Nullable HttpCallerExchange exchange;
     private boolean closeAfterResponse;
     private boolean closing;
@@ -112,7 +111,7 @@
             return;
         }
         requestHead = request;
-        requestBody = Unpooled.compositeBuffer();
+        requestBody = Unpooled.buffer();
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -142,7 +141,7 @@
     }
 
     private void onContent(ChannelHandlerContext context, HttpContent content) {
-        CompositeByteBuf body = requestBody;
+        ByteBuf body = requestBody;
         HttpRequest request = requestHead;
         if (body == null || request == null) {
             return;
@@ -151,7 +150,8 @@
             rejectAndClose(HttpResponseStatus.BAD_REQUEST, "malformed body");
             return;
         }
-        body.addComponent(true, content.content().retain());
+        // Parts of a composite buffer would be merged again and again if they are small.
+        body.writeBytes(content.content());
         if (body.readableBytes() > server.getLimits().maxBodyBytes()) {
             rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
         } else if (content instanceof LastHttpContent) {
@@ -236,12 +236,12 @@
         }
     }
 
-    void writeEvent(ByteBuf event) {
+    void writeEvents(ByteBuf events) {
         ChannelHandlerContext context = channelContext;
         if (context != null && streaming) {
-            context.writeAndFlush(new DefaultHttpContent(event));
+            context.writeAndFlush(new DefaultHttpContent(events));
         } else {
-            event.release();
+            events.release();
         }
     }
 
@@ -319,7 +319,7 @@
 
     private void discardRequest() {
         requestHead = null;
-        CompositeByteBuf body = requestBody;
+        ByteBuf body = requestBody;
         requestBody = null;
         if (body != null) {
             body.release();
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerServer.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerServer.java
@@ -26,6 +26,7 @@
 import org.fuchsiawharf.core.route.CallerLimits;
 import org.fuchsiawharf.relay.FieldNames;
 import org.fuchsiawharf.relay.IoThread;
+import org.fuchsiawharf.relay.SocketOptions;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -92,6 +93,7 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, SocketOptions.createReceiveAllocator())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/EventParser.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/EventParser.java
@@ -9,14 +9,24 @@
 /**
  * Splits an event stream into complete events without changing their bytes.
  *
- * <p>An event ends with an empty line. The bytes of an incomplete event are buffered. Confined to the I/O thread.
+ * <p>An event ends with an empty line. Further empty lines are no events; their bytes belong to the event that follows.
+ * The bytes of an incomplete event are buffered. Confined to the I/O thread.
  */
 final class EventParser {
     /** A larger event is treated as malformed; events contain only a few tokens. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
-    private ByteBuf pending = Unpooled.buffer(256);
+    private static final int INITIAL_BUFFER_BYTES = 256;
+    /** Capacity above which the buffer is replaced after an event. */
+    private static final int MAX_IDLE_BUFFER_BYTES = 4_096;
+
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+    private ByteBuf pending = Unpooled.buffer(INITIAL_BUFFER_BYTES);
     private int lineStart;
+    /** Number of buffered bytes of empty lines before the incomplete event. */
+    private int emptyLineBytes;
+
     private boolean hasId;
     private long id;
     private boolean released;
@@ -24,7 +34,7 @@
     /**
      * One complete event.
      *
-     * @param bytes the bytes including the empty line, to be released by the receiver
+     * @param bytes the bytes including the empty line, valid until the receiver returns
      * @param hasId whether the event has an id
      * @param id the id, 0 if the event has none
      */
@@ -48,7 +58,12 @@
 
     /** Checks whether the bytes of an incomplete event are buffered. */
     boolean hasPartialEvent() {
-        return pending.isReadable();
+        return pending.readableBytes() > emptyLineBytes;
+    }
+
+    /** Gets the bytes of the empty lines after the last event, valid until the next change. */
+    ByteBuf getTrailingEmptyLines() {
+        return pending.slice(0, emptyLineBytes);
     }
 
     /** Releases the buffered bytes; no further events are passed to the sink. */
@@ -63,27 +78,45 @@
         if (lineLength > 0 && pending.getByte(lineStart + lineLength - 1) == '\r') {
             lineLength--;
         }
+        boolean firstLine = lineStart == emptyLineBytes;
+        int start = lineStart;
+        lineStart = pending.writerIndex();
         if (lineLength > 0) {
-            boolean valid = parseId(pending.toString(lineStart, lineLength, StandardCharsets.UTF_8));
-            lineStart = pending.writerIndex();
-            return valid;
+            return parseId(start, lineLength);
         }
-        ByteBuf event = pending;
-        pending = Unpooled.buffer(256);
-        lineStart = 0;
-        StreamEvent streamEvent = new StreamEvent(event, hasId, id);
+        if (firstLine) {
+            emptyLineBytes = lineStart;
+            return true;
+        }
+        sink.accept(new StreamEvent(pending, hasId, id));
+        if (!released) {
+            startEvent();
+        }
+        return true;
+    }
+
+    private void startEvent() {
         hasId = false;
         id = 0;
-        sink.accept(streamEvent);
-        return true;
+        lineStart = 0;
+        emptyLineBytes = 0;
+        if (pending.capacity() > MAX_IDLE_BUFFER_BYTES) {
+            pending.release();
+            pending = Unpooled.buffer(INITIAL_BUFFER_BYTES);
+        } else {
+            pending.clear();
+        }
     }
 
-    private boolean parseId(String line) {
-        if (!line.startsWith("id:")) {
-            return true;
+    private boolean parseId(int start, int length) {
+        for (int i = 0; i < ID_FIELD.length; i++) {
+            if (i >= length || pending.getByte(start + i) != ID_FIELD[i]) {
+                return true;
+            }
         }
+        String value = pending.toString(start + ID_FIELD.length, length - ID_FIELD.length, StandardCharsets.UTF_8);
         try {
-            id = Long.parseLong(line.substring("id:".length()).trim());
+            id = Long.parseLong(value.trim());
             hasId = true;
             return true;
         } catch (NumberFormatException e) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -142,10 +142,9 @@
     private void onEvent(EventParser.StreamEvent event) {
         HttpHeaders head = responseHead;
         if (ended || head == null) {
-            event.bytes().release();
             return;
         }
-        exchange.getStream().sendHead(status, copyEndToEndFields(head));
+        sendHead(head);
         StreamRelay.Result result = exchange.getStream().forward(event, terms.version());
         if (result == StreamRelay.Result.GAP) {
             fail(CallFailure.GARBAGE, "the event stream has a gap before event " + event.id());
@@ -158,6 +157,17 @@
         }
     }
 
+    private void sendHead(HttpHeaders head) {
+        if (!exchange.getStream().isHeadSent()) {
+            exchange.getStream().sendHead(status, copyEndToEndFields(head));
+        }
+    }
+
+    @Override
+    public void onReadEnd() {
+        exchange.getStream().flush();
+    }
+
     @Override
     public void onComplete() {
         if (ended) {
@@ -176,7 +186,9 @@
             fail(CallFailure.LOST, "the connection ended before the first event of the stream");
         } else if (parser != null && head != null) {
             ended = true;
-            exchange.getStream().sendHead(status, copyEndToEndFields(head));
+            sendHead(head);
+            exchange.getStream().append(parser.getTrailingEmptyLines());
+            exchange.getStream().flush();
             parser.release();
             long count = forwardedEvents;
             calls.executeOnDecisionLoop(() -> listener.onStreamEnded(count));
@@ -212,6 +224,7 @@
     public void onFailed(CallFailure failure, String detail) {
         if (!ended) {
             ended = true;
+            exchange.getStream().flush();
             releaseBuffers();
             calls.executeOnDecisionLoop(() -> listener.onFailed(failure, detail));
         }
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/StreamRelay.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/StreamRelay.java
@@ -1,6 +1,7 @@
 package org.fuchsiawharf.relay.edge;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 
@@ -8,7 +9,9 @@
  * Forwards the events of one stream to its caller across several attempts.
  *
  * <p>The caller receives the response head of the first attempt, then each event exactly once, in order of the event
- * ids and without gaps. Duplicates are dropped; a gap fails the attempt. All events are of one software version. Confined to the I/O thread.
+ * ids and without gaps. Duplicates are dropped; a gap fails the attempt. All events are of one software version. The
+ * events of one read are written together, so that many small ones do not occupy the I/O thread. Confined to the I/O
+ * thread.
  */
 final class StreamRelay {
     private final CallerConnection connection;
@@ -16,6 +19,7 @@
     private boolean hasLastId;
     private boolean headSent;
     private @Nullable String version;
+    private @Nullable ByteBuf unwritten;
 
     /**
      * Creates a relay.
@@ -54,7 +58,7 @@
 
     /** The result of forwarding an event. */
     enum Result {
-        /** The event was sent to the caller. */
+        /** The event is sent to the caller with the next {@link #flush}. */
         FORWARDED,
         /** The caller already has the event. */
         DUPLICATE,
@@ -62,15 +66,12 @@
         GAP
     }
 
-    /** Forwards an event if it is the next one in order; takes ownership of its buffer. */
+    /** Forwards an event if it is the next one in order; {@link #flush} writes it. */
     Result forward(EventParser.StreamEvent event, String endpointVersion) {
-        ByteBuf bytes = event.bytes();
         if (event.hasId() && hasLastId && event.id() <= lastId) {
-            bytes.release();
             return Result.DUPLICATE;
         }
         if (event.hasId() && hasLastId && event.id() > lastId + 1) {
-            bytes.release();
             return Result.GAP;
         }
         if (event.hasId()) {
@@ -78,7 +79,26 @@
             lastId = event.id();
         }
         version = endpointVersion;
-        connection.writeEvent(bytes);
+        append(event.bytes());
         return Result.FORWARDED;
     }
+
+    /** Forwards bytes that follow the last event; {@link #flush} writes them. */
+    void append(ByteBuf bytes) {
+        ByteBuf target = unwritten;
+        if (target == null) {
+            target = Unpooled.buffer(bytes.readableBytes());
+            unwritten = target;
+        }
+        target.writeBytes(bytes);
+    }
+
+    /** Writes the forwarded events to the caller. */
+    void flush() {
+        ByteBuf bytes = unwritten;
+        unwritten = null;
+        if (bytes != null) {
+            connection.writeEvents(bytes);
+        }
+    }
 }
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
@@ -22,6 +22,7 @@
 import static org.fuchsiawharf.relay.ScriptedEndpoint.response;
 import static org.fuchsiawharf.relay.ScriptedEndpoint.write;
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -141,6 +142,23 @@
         assertThat(response.body().length(), is(size));
     }
 
+    // Each event was written to the caller by itself, so that a stream of small events stopped all other connections.
+    @Test
+    void smallEventsOfOneReadAreWrittenTogether() throws Exception {
+        int events = 50_000;
+        endpoint.then((r, s) -> {
+            write(s, head(r, 200) + "Connection: close\r\n\r\n" + "x\n\n".repeat(events));
+            s.close();
+        });
+        try (Socket socket = relay.connect()) {
+            write(socket, RelayFixture.request("POST", "/verdict/", "r1", "Connection: close\r\n", ""));
+            String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            String chunks = response.substring(response.indexOf("\r\n\r\n") + 4);
+            assertThat(chunks.split("\n\n").length, is(greaterThanOrEqualTo(events)));
+            assertThat(chunks.split("\r\n").length, is(lessThan(events / 10)));
+        }
+    }
+
     @Test
     void incompleteResponsesOfAllCallsAreBoundedTogether() throws Exception {
         String part = "x".repeat(12 << 20);
