Require a key while the configuration has workspaces, even if none of them holds one

Cause: an empty map of keys stood for a deployment without workspaces. Class: an empty set that is taken for an absent one, where absent means allowed.

Change: WorkspaceKeys holds the keys and whether one is required, which follows from the presence of the field.

Why it works: whether a key is required no longer depends on which keys there are.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -214,7 +214,7 @@
             return;
         }
         Workspace workspace = current.findWorkspace(request.key());
-        if (workspace == null && !route.open() && current.hasWorkspaces()) {
+        if (workspace == null && !route.open() && current.requiresKey()) {
             reject(
                     request,
                     exchange,
--- a/core/src/main/java/org/fuchsiawharf/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/fuchsiawharf/core/route/RoutingConfig.java
@@ -21,19 +21,19 @@
     private final long version;
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, ServiceSpec> services;
-    private final Map<String, Workspace> workspacesByKey;
+    private final WorkspaceKeys keys;
     private final CallerLimits limits;
 
     private RoutingConfig(
             long version,
             Map<String, List<Route>> routesByHost,
             Map<String, ServiceSpec> services,
-            Map<String, Workspace> workspacesByKey,
+            WorkspaceKeys keys,
             CallerLimits limits) {
         this.version = version;
         this.routesByHost = routesByHost;
         this.services = services;
-        this.workspacesByKey = workspacesByKey;
+        this.keys = keys;
         this.limits = limits;
     }
 
@@ -43,16 +43,12 @@
      * @param version the version number, which increases with every change
      * @param routes the routes, not null
      * @param services the services, not null
-     * @param workspacesByKey the workspace of each key, not null
+     * @param keys the keys of the workspaces, not null
      * @param limits the limits for callers, not null
      * @return the configuration, never null
      */
     public static RoutingConfig of(
-            long version,
-            List<Route> routes,
-            List<ServiceSpec> services,
-            Map<String, Workspace> workspacesByKey,
-            CallerLimits limits) {
+            long version, List<Route> routes, List<ServiceSpec> services, WorkspaceKeys keys, CallerLimits limits) {
         Map<String, List<Route>> routesByHost = new HashMap<>();
         for (Route route : routes) {
             routesByHost
@@ -66,7 +62,7 @@
                                 .reversed()));
         Map<String, ServiceSpec> servicesByName = new HashMap<>();
         services.forEach(service -> servicesByName.put(service.name(), service));
-        return new RoutingConfig(version, routesByHost, servicesByName, Map.copyOf(workspacesByKey), limits);
+        return new RoutingConfig(version, routesByHost, servicesByName, keys, limits);
     }
 
     /**
@@ -131,15 +127,15 @@
      * @return the workspace, null if the key is null or belongs to no workspace
      */
     public @Nullable Workspace findWorkspace(@Nullable String key) {
-        return key == null ? null : workspacesByKey.get(key);
+        return keys.find(key);
     }
 
     /**
-     * Checks whether any workspace is configured; only then do routes that are not open require a key.
+     * Checks whether routes that are not open require a key.
      *
-     * @return true if at least one workspace is configured
+     * @return true if the deployment has workspaces, whether they hold keys or not
      */
-    public boolean hasWorkspaces() {
-        return !workspacesByKey.isEmpty();
+    public boolean requiresKey() {
+        return keys.required();
     }
 }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -36,6 +36,7 @@
 import org.fuchsiawharf.core.route.Route;
 import org.fuchsiawharf.core.route.RoutingConfig;
 import org.fuchsiawharf.core.route.ServiceSpec;
+import org.fuchsiawharf.core.route.WorkspaceKeys;
 import org.fuchsiawharf.core.routing.EndpointTable;
 import org.fuchsiawharf.core.routing.ExpectedCompletionSelector;
 import org.fuchsiawharf.core.stream.StreamOrigins;
@@ -373,7 +374,11 @@
         stages.forEach(stage -> services.add(new ServiceSpec(stage.name(), stage.spec())));
         pools.start();
         instance.applyConfig(RoutingConfig.of(
-                1, kinds.stream().map(RequestClass::route).toList(), services, Map.of(), CallerLimits.DEFAULT));
+                1,
+                kinds.stream().map(RequestClass::route).toList(),
+                services,
+                WorkspaceKeys.NOT_REQUIRED,
+                CallerLimits.DEFAULT));
         instance.onEndpoints(listing);
         return instance;
     }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -32,6 +32,7 @@
 import org.fuchsiawharf.core.route.ServiceSpec;
 import org.fuchsiawharf.core.route.WeightedService;
 import org.fuchsiawharf.core.route.Workspace;
+import org.fuchsiawharf.core.route.WorkspaceKeys;
 import org.fuchsiawharf.core.routing.EndpointTable;
 import org.fuchsiawharf.core.routing.ExpectedCompletionSelector;
 import org.fuchsiawharf.core.stream.StreamOrigins;
@@ -156,7 +157,11 @@
                 new ServiceSpec("engine", null),
                 new ServiceSpec("encode", new PieceService(1, 2, 8, 200, 20, 100, 4_000)));
         return RoutingConfig.of(
-                version, routes, services, Map.of(KEY, new Workspace("w1", null)), CallerLimits.DEFAULT);
+                version,
+                routes,
+                services,
+                WorkspaceKeys.of(Map.of(KEY, new Workspace("w1", null))),
+                CallerLimits.DEFAULT);
     }
 
     private static Route route(String name, RequestKind kind, String service, int attempts, List<PieceStage> stages) {
--- a/core/src/test/java/org/fuchsiawharf/core/route/TestRoutingConfig.java
+++ b/core/src/test/java/org/fuchsiawharf/core/route/TestRoutingConfig.java
@@ -38,7 +38,11 @@
 
     private static RoutingConfig config(Route... routes) {
         return RoutingConfig.of(
-                1, List.of(routes), List.of(), Map.of("k", new Workspace("w", null)), CallerLimits.DEFAULT);
+                1,
+                List.of(routes),
+                List.of(),
+                WorkspaceKeys.of(Map.of("k", new Workspace("w", null))),
+                CallerLimits.DEFAULT);
     }
 
     @Test
@@ -56,6 +60,7 @@
         assertThat(config.findWorkspace("k"), is(notNullValue()));
         assertThat(config.findWorkspace("x"), is(nullValue()));
         assertThat(config.findWorkspace(null), is(nullValue()));
+        assertThat(config.requiresKey(), is(true));
     }
 
     @Test
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -25,6 +25,7 @@
 import org.fuchsiawharf.core.route.ServiceSpec;
 import org.fuchsiawharf.core.route.WeightedService;
 import org.fuchsiawharf.core.route.Workspace;
+import org.fuchsiawharf.core.route.WorkspaceKeys;
 import org.fuchsiawharf.relay.instance.InstanceSettings;
 import org.fuchsiawharf.relay.instance.MicrometerMeters;
 import org.fuchsiawharf.relay.instance.RelayProcess;
@@ -109,7 +110,7 @@
                         route("chat", RequestKind.RESUMABLE_STREAM, 2),
                         route("verdict", RequestKind.SINGLE_STREAM, 1)),
                 List.of(new ServiceSpec("s", null, MAX_CONNECTIONS)),
-                Map.of("k1", new Workspace("w1", 3)),
+                WorkspaceKeys.of(Map.of("k1", new Workspace("w1", 3))),
                 LIMITS);
     }
 
