Use the only known version of a service for a take-up once the store has confirmed it

Callers whose streams had begun at a new software version, and were taken up at an instance that had not heard of it, got a response of 200 that went on in the text of the old version.

Cause: StreamOrigins answered with the only version that this instance had heard of, and nothing said how old that knowledge was. Class: "I know of one" is taken for "there is one".

Change: the only known version is used once a read of the store that began after the request has returned and this instance's copy of the store has reached the position of that read. Cut off from the store it refuses the take-up as not run. A read serves only the lookups that came before it began.

Why it works: the stream began before its take-up, so that the entry of its endpoint stood in the store before the read. What the read confirms is a fact of the past, which neither a freeze nor a cut afterwards changes. A bound on the age of the knowledge would not do.

--- a/core/src/main/java/org/fuchsiawharf/core/stream/OriginStore.java
+++ b/core/src/main/java/org/fuchsiawharf/core/stream/OriginStore.java
@@ -39,7 +39,11 @@
     /**
      * Reads the origins that all instances have written.
      *
-     * @param callback receives the origins by the id of the request that began the stream, null if unavailable
+     * <p>The callback is called once this instance knows the endpoints and the versions that the store held at the time of
+     * the read, so that its knowledge is then no older than the call.
+     *
+     * @param callback receives the origins by the id of the request that began the stream, null if the store or what it
+     *     held is unavailable
      */
     void readOrigins(Consumer<@Nullable Map<String, StreamOrigin>> callback);
 
--- a/core/src/main/java/org/fuchsiawharf/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/fuchsiawharf/core/stream/StreamOrigins.java
@@ -14,8 +14,10 @@
  * Finds the origins of streams that callers take up, at whichever instance and whatever became of the one before.
  *
  * <p>While a service has one version, it is the origin of all its streams. Otherwise the origin is written to the store
- * soon after the first event, and read from there by the instance at which the stream is taken up. An origin that is
- * neither known nor stored stays unknown: it is not guessed. Confined to the decision loop.
+ * soon after the first event, and read from there by the instance at which the stream is taken up. This instance may not
+ * have heard of a version that others use, so that the only version that it knows is the origin only once a read of the
+ * store that began after the request has confirmed it. An origin that is neither known nor stored stays unknown: it is not
+ * guessed. Confined to the decision loop.
  */
 public final class StreamOrigins {
     /** Time for which a stream may be taken up after its response has been broken off. */
@@ -34,7 +36,9 @@
     private final VersionHistory history;
     private final TimerService timers;
     private final Map<String, Stream> streams = new LinkedHashMap<>();
+    /** Lookups that wait for the next read, which must begin after them. */
     private final List<Lookup> lookups = new ArrayList<>();
+
     private OriginStore store = OriginStore.UNAVAILABLE;
     private boolean writeScheduled;
     private boolean reading;
@@ -54,11 +58,13 @@
 
     private static final class Lookup {
         private final String request;
+        private final List<String> services;
         private final Consumer<@Nullable StreamOrigin> callback;
         private boolean ended;
 
-        private Lookup(String request, Consumer<@Nullable StreamOrigin> callback) {
+        private Lookup(String request, List<String> services, Consumer<@Nullable StreamOrigin> callback) {
             this.request = request;
+            this.services = services;
             this.callback = callback;
         }
 
@@ -145,33 +151,43 @@
      */
     public void find(String request, List<String> services, Consumer<@Nullable StreamOrigin> callback) {
         Stream stream = streams.get(request);
-        String soleVersion = services.size() == 1 ? history.getSoleVersion(services.get(0)) : null;
         if (stream != null) {
             callback.accept(stream.origin);
-        } else if (soleVersion != null) {
-            callback.accept(new StreamOrigin(services.get(0), soleVersion));
-        } else if (request.isEmpty()) {
+        } else if (request.isEmpty() && getSoleOrigin(services) == null) {
             callback.accept(null);
         } else {
-            Lookup lookup = new Lookup(request, callback);
+            Lookup lookup = new Lookup(request, services, callback);
             lookups.add(lookup);
             timers.schedule(timers.now() + READ_TIMEOUT_NANOS, () -> lookup.end(null));
             read();
         }
     }
 
+    private @Nullable StreamOrigin getSoleOrigin(List<String> services) {
+        String soleVersion = services.size() == 1 ? history.getSoleVersion(services.get(0)) : null;
+        return soleVersion == null ? null : new StreamOrigin(services.get(0), soleVersion);
+    }
+
     private void read() {
         if (!reading) {
             reading = true;
-            store.readOrigins(this::onRead);
+            List<Lookup> current = List.copyOf(lookups);
+            lookups.clear();
+            store.readOrigins(origins -> onRead(current, origins));
         }
     }
 
-    private void onRead(@Nullable Map<String, StreamOrigin> origins) {
+    private void onRead(List<Lookup> current, @Nullable Map<String, StreamOrigin> origins) {
         reading = false;
-        List<Lookup> ended = List.copyOf(lookups);
-        lookups.clear();
-        ended.forEach(lookup -> lookup.end(origins == null ? null : origins.get(lookup.request)));
+        current.forEach(lookup -> lookup.end(origins == null ? null : resolve(lookup, origins)));
+        if (!lookups.isEmpty()) {
+            read();
+        }
+    }
+
+    private @Nullable StreamOrigin resolve(Lookup lookup, Map<String, StreamOrigin> origins) {
+        StreamOrigin stored = origins.get(lookup.request);
+        return stored != null ? stored : getSoleOrigin(lookup.services);
     }
 
     // -----------------------------------------------------------------------
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -26,9 +26,12 @@
 import org.fuchsiawharf.core.route.WeightedService;
 import org.fuchsiawharf.core.route.Workspace;
 import org.fuchsiawharf.core.route.WorkspaceKeys;
+import org.fuchsiawharf.core.stream.OriginStore;
+import org.fuchsiawharf.core.stream.StreamOrigin;
 import org.fuchsiawharf.relay.instance.InstanceSettings;
 import org.fuchsiawharf.relay.instance.MicrometerMeters;
 import org.fuchsiawharf.relay.instance.RelayProcess;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Fixture with a real instance on the loopback interface in front of scripted endpoints.
@@ -70,6 +73,7 @@
                 p -> new UnsupportedPieceCalls(),
                 DecisionLog.NONE,
                 new MicrometerMeters());
+        process.getOrigins().setStore(new EmptyOriginStore());
         process.addReadinessPage("/ready");
         process.start();
         configure(endpoints);
@@ -174,6 +178,22 @@
         process.getIoThread().close();
     }
 
+    /** A store without origins, which confirms what the instance knows. */
+    private static final class EmptyOriginStore implements OriginStore {
+        @Override
+        public void writeOrigins(Map<String, StreamOrigin> origins, Consumer<Boolean> callback) {
+            callback.accept(true);
+        }
+
+        @Override
+        public void readOrigins(Consumer<@Nullable Map<String, StreamOrigin>> callback) {
+            callback.accept(Map.of());
+        }
+
+        @Override
+        public void writeVersions(String service, Set<String> versions, long expectedRevision) {}
+    }
+
     private static final class UnsupportedPieceCalls implements PieceCalls {
         @Override
         public Call send(Endpoint endpoint, List<PieceOrder> orders, Listener listener) {
