--- a/core/src/main/java/org/fuchsiawharf/core/loop/DecisionLoop.java
+++ b/core/src/main/java/org/fuchsiawharf/core/loop/DecisionLoop.java
@@ -80,7 +80,8 @@
         }
         try {
             processor.process(event, clock.nanos());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
+            // The next event does not depend on the depth of this one.
             LOG.log(Level.ERROR, "decision failed on " + event.getClass().getSimpleName(), e);
         }
         if (endOfBatch) {
