Believe a refusal only if it belongs to the request and says that it was not run

Reported by operators of similar systems: a faulty endpoint wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" for requests that ran.

Cause: a refusal without an id counted as that of the current request, a repeated request could get the connection on which it had been refused, where a copy has its id, and a status of 408, 429 or 503 was passed on for requests that may not be repeated although the endpoint had not said that it did not run them. Class: a promise that rests on less than a statement about this request.

Requests that may not be repeated have a connection of their own each and were not concerned by the copies.

Change: without an id, a response on a connection that has carried another call is garbage; a connection does not carry the id of a call again that did not succeed there; a status that promises too much is a failure for requests that may not be repeated, answered with 502.

Why it works: "not run" now needs a response that can only be that of this request, or none.

--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -1,5 +1,7 @@
 package org.fuchsiawharf.core.relay;
 
+import java.util.Set;
+
 import org.fuchsiawharf.core.port.CallFailure;
 import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.routing.EndpointState;
@@ -18,6 +20,9 @@
     /** Responses with this HTTP status or a higher one are failures of the endpoint. */
     static final int FIRST_FAILURE_STATUS = 500;
 
+    /** The HTTP statuses that promise that a request has not run and never will. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
     /** Multiple of the service's mean response time after which a repeatable call is sent to another endpoint. */
     private static final double SLOW_FACTOR = 6;
     /** Lower limit of the time after which a repeatable call is sent to another endpoint. */
@@ -172,6 +177,13 @@
         if (ended) {
             return;
         }
+        boolean promisesTooMuch = NOT_RUN_STATUSES.contains(response.getStatus())
+                && !routedRequest.route().kind().isRepeatable();
+        if (promisesTooMuch) {
+            // An endpoint that has not run a request says so, which is a failure of the call and no response.
+            onFailed(CallFailure.ERROR, "status " + response.getStatus() + " of a request that may have run");
+            return;
+        }
         finish(Integer.toString(response.getStatus()));
         if (response.getStatus() >= FIRST_FAILURE_STATUS) {
             context.health().onFailure(pool, endpoint, CallFailure.ERROR, timers.now());
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -1,5 +1,8 @@
 package org.fuchsiawharf.relay.client;
 
+import java.util.HashSet;
+import java.util.Set;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -21,8 +24,10 @@
 /**
  * A client connection that carries one call at a time.
  *
- * <p>A successful response must carry the id of the current call; a response with another id is a late duplicate
- * response to an earlier request and is skipped. The connection is not reused after such a response, after bytes that
+ * <p>A successful response must carry the id of the current call, and so must any response on a connection that has
+ * carried another call before: without an id it may be a copy of an earlier refusal. A response with another id is a late
+ * duplicate response to an earlier request and is skipped. A call that did not succeed is not repeated on the connection,
+ * since a copy of its first response carries the same id. The connection is not reused after such a response, after bytes that
  * belong to no call, after a failed or cancelled call, after a response that closes the connection, or after a response
  * that arrived before the request was completely written. A body without a length is complete only if the server has
  * closed its side in order: a reset may be met by a write, which reports no failed read. A call fails as garbage if too many bytes arrive that are
@@ -40,11 +45,17 @@
     /** Maximum size of the bodies of responses to earlier requests that one call skips. */
     private static final int MAX_SKIPPED_BYTES = 1 << 20;
 
+    /** Number of calls without success after which the connection is not reused. */
+    private static final int MAX_REFUSED_IDS = 32;
+
     private final HttpClient client;
     private final ResponseDecoder decoder;
     private final Channel channel;
     private @Nullable OpenCall currentCall;
     private @Nullable ChannelFuture requestWritten;
+    private final Set<String> refusedIds = new HashSet<>();
+    private boolean carriedCall;
+    private boolean carriedEarlierCall;
     private boolean skippingResponse;
     private boolean reuseForbidden;
     private boolean readFailed;
@@ -70,6 +81,8 @@
     /** Sends the request of a call on this connection, which must be idle. */
     void send(OpenCall next) {
         currentCall = next;
+        carriedEarlierCall = carriedCall;
+        carriedCall = true;
         responseComplete = false;
         receivedBytesAtProgress = decoder.getReceivedBytes();
         receivedBytesAtSend = receivedBytesAtProgress;
@@ -100,6 +113,11 @@
                 && !decoder.hasUnparsedBytes();
     }
 
+    /** Checks whether a call with an id has been carried without success. */
+    boolean hasRefused(@Nullable String id) {
+        return refusedIds.contains(id);
+    }
+
     void close() {
         reuseForbidden = true;
         channel.close();
@@ -160,10 +178,15 @@
         if (skippingResponse) {
             return;
         }
-        if (expected != null && id == null && response.status().codeClass() == HttpStatusClass.SUCCESS) {
+        boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (expected != null && id == null && (success || carriedEarlierCall)) {
             fail(CallFailure.GARBAGE, "the response has no request id");
             return;
         }
+        if (expected != null && !success) {
+            refusedIds.add(expected);
+            reuseForbidden |= refusedIds.size() > MAX_REFUSED_IDS;
+        }
         updateKeepAlive(response);
         ChannelFuture writeFuture = requestWritten;
         if (writeFuture == null || !writeFuture.isDone()) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/HttpClient.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/HttpClient.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 
 import io.netty.bootstrap.Bootstrap;
@@ -89,12 +90,19 @@
 
     private @Nullable ClientConnection takeIdle(HttpCall call) {
         Deque<ClientConnection> connections = idleConnections.get(call.address());
-        while (call.maxIdleNanos() > 0 && connections != null && !connections.isEmpty()) {
-            ClientConnection connection = connections.removeLast();
-            if (connection.isReusable(call.maxIdleNanos())) {
+        if (call.maxIdleNanos() <= 0 || connections == null) {
+            return null;
+        }
+        Iterator<ClientConnection> latestFirst = connections.descendingIterator();
+        while (latestFirst.hasNext()) {
+            ClientConnection connection = latestFirst.next();
+            if (!connection.isReusable(call.maxIdleNanos())) {
+                latestFirst.remove();
+                connection.close();
+            } else if (!connection.hasRefused(call.expectedId())) {
+                latestFirst.remove();
                 return connection;
             }
-            connection.close();
         }
         return null;
     }
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.fuchsiawharf.relay.ScriptedEndpoint.chunk;
 import static org.fuchsiawharf.relay.ScriptedEndpoint.event;
@@ -164,6 +165,15 @@
         assertThat(send("/post/", "r1").body(), is("fine"));
     }
 
+    // A status that promises that the request was not run was passed on though the endpoint had not said so.
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void statusThatPromisesTooMuchIsNotForwardedForNonIdempotentRequest(int status) throws Exception {
+        endpoint.then((r, s) -> write(s, response(r, status, "busy")));
+        assertThat(send("/post/", "r1").status(), is(502));
+        assertThat(endpoint.requests, hasSize(1));
+    }
+
     @Test
     void forwardsErrorResponseOfEndpointUnchanged() throws Exception {
         endpoint.then((r, s) -> write(s, response(r, 500, "broken")));
