Let a response end with its last byte, not with its handover to the connection

Cause: the second for the caller's close ran from the handover of the response, and the connection counted as idle from then on; closing it drops what is queued. Class: queued is taken for sent.

Change: a response ends when its last byte has been passed to the operating system. A caller that reads nothing for the idle timeout loses its connection.

Why it works: neither the linger time nor the idle check begins while bytes are queued, and a stopping process waits for its connections until the end of the grace period as before.

--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
@@ -4,12 +4,16 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -37,7 +41,8 @@
  *
  * <p>Requests are handled one at a time and in order; pipelined requests are queued. The connection is read while a
  * request is in flight, so that a disconnect of the caller is detected at once. The connection is closed only between
- * requests, or to signal that a response is incomplete. Confined to the I/O thread.
+ * requests, or to signal that a response is incomplete. A response belongs to its request until its last byte has been
+ * passed to the operating system. Confined to the I/O thread.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** Queued message parts of pipelined requests above which reading is paused. */
@@ -54,6 +59,8 @@
     private boolean closeAfterResponse;
     private boolean closing;
     private boolean streaming;
+    private @Nullable ChannelFuture lastWrite;
+    private long unwrittenBytes;
     private long lastActivityNanos = System.nanoTime();
 
     CallerConnection(CallerServer server) {
@@ -198,7 +205,14 @@
     /** Closes the connection after the idle timeout, or after the header timeout if a request is incomplete. */
     void checkTimeout(long nowNanos, CallerLimits limits, boolean closeIdle) {
         ChannelHandlerContext context = channelContext;
-        if (exchange != null || closing || context == null) {
+        if (exchange != null || context == null) {
+            return;
+        }
+        if (isWriting(context.channel(), nowNanos)) {
+            closeIfStalled(context, nowNanos, limits);
+            return;
+        }
+        if (closing) {
             return;
         }
         long inactiveMillis = (nowNanos - lastActivityNanos) / 1_000_000;
@@ -210,6 +224,31 @@
         }
     }
 
+    // Records the progress of a response that the caller is still reading.
+    private boolean isWriting(Channel channel, long nowNanos) {
+        ChannelFuture write = lastWrite;
+        if (write == null || write.isDone()) {
+            return false;
+        }
+        WriteBufferWaterMark waterMark = channel.config().getWriteBufferWaterMark();
+        long bytes = channel.isWritable()
+                ? waterMark.high() - channel.bytesBeforeUnwritable()
+                : waterMark.low() + channel.bytesBeforeWritable();
+        if (bytes != unwrittenBytes) {
+            unwrittenBytes = bytes;
+            lastActivityNanos = nowNanos;
+        }
+        return true;
+    }
+
+    private void closeIfStalled(ChannelHandlerContext context, long nowNanos, CallerLimits limits) {
+        if ((nowNanos - lastActivityNanos) / 1_000_000 > limits.idleTimeoutMillis()) {
+            server.onConnectionFailed("the caller has not read its response for the idle timeout");
+            closing = true;
+            context.close();
+        }
+    }
+
     void writeResponse(HttpResponseStatus status, HttpHeaders fields, ByteBuf content) {
         ChannelHandlerContext context = channelContext;
         if (context == null || exchange == null) {
@@ -269,7 +308,7 @@
         streaming = false;
         exchange = null;
         lastActivityNanos = System.nanoTime();
-        context.writeAndFlush(last);
+        trackWrite(context.writeAndFlush(last));
         if (closeAfterResponse) {
             closeGracefully(context);
             return;
@@ -280,6 +319,11 @@
         }
     }
 
+    private void trackWrite(ChannelFuture write) {
+        lastWrite = write;
+        write.addListener(done -> lastActivityNanos = System.nanoTime());
+    }
+
     private void applyConnectionClose(HttpResponse response) {
         closeAfterResponse |= server.isDraining();
         if (closeAfterResponse) {
@@ -309,12 +353,14 @@
         pendingParts.forEach(ReferenceCountUtil::release);
         pendingParts.clear();
         context.channel().config().setAutoRead(true);
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
+        ChannelFuture write = context.writeAndFlush(Unpooled.EMPTY_BUFFER);
+        trackWrite(write);
+        write.addListener(done -> {
             if (context.channel() instanceof SocketChannel socket) {
                 socket.shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
             }
+            context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
         });
-        context.executor().schedule(() -> context.close(), LINGER_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
     }
 
     private void discardRequest() {
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -136,7 +136,17 @@
     }
 
     Socket connect() throws IOException {
+        return connect(new Socket());
+    }
+
+    /** Connects with a small receive buffer, so that most of a large response waits at the instance. */
+    Socket connectWithReceiveBuffer(int bytes) throws IOException {
         Socket socket = new Socket();
+        socket.setReceiveBufferSize(bytes);
+        return connect(socket);
+    }
+
+    private Socket connect(Socket socket) throws IOException {
         socket.connect(settings.callerAddress(), TIMEOUT_MILLIS);
         socket.setSoTimeout(TIMEOUT_MILLIS);
         return socket;
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestCallerServer.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestCallerServer.java
@@ -1,6 +1,7 @@
 package org.fuchsiawharf.relay;
 
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
@@ -9,6 +10,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.fuchsiawharf.relay.ScriptedEndpoint.response;
+import static org.fuchsiawharf.relay.ScriptedEndpoint.write;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
@@ -59,6 +62,33 @@
         assertThat(sent.body(), is("hello"));
     }
 
+    // A stopping instance closed connections while their callers still read responses that it had taken over.
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void responseThatIsReadSlowlyIsNotCutByStop(boolean stoppedBeforeResponse) throws Exception {
+        String body = "x".repeat(12 << 20);
+        CountDownLatch mayRespond = new CountDownLatch(stoppedBeforeResponse ? 1 : 0);
+        CountDownLatch responded = new CountDownLatch(stoppedBeforeResponse ? 0 : 1);
+        try (ScriptedEndpoint large = new ScriptedEndpoint();
+                RelayFixture stopping = new RelayFixture(large, 20_000);
+                Socket socket = stopping.connectWithReceiveBuffer(4_096)) {
+            large.then((r, s) -> {
+                mayRespond.await();
+                write(s, response(r, 200, body));
+                responded.countDown();
+            });
+            write(socket, RelayFixture.request("POST", "/post/", "r1", "", ""));
+            responded.await();
+            Thread stop = new Thread(stopping.process::stop);
+            stop.start();
+            Thread.sleep(500);
+            mayRespond.countDown();
+            Thread.sleep(4_000);
+            assertThat(RelayFixture.readResponse(socket).body().length(), is(body.length()));
+            stop.join();
+        }
+    }
+
     @Test
     void joinsChunksOfRequestBody() throws Exception {
         RawMessage response = relay.exchange("POST /post/ HTTP/1.1\r\nHost: h.example\r\nWharf-Request-Id: r\r\n"
