--- a/core/src/main/java/org/fuchsiawharf/core/loop/DecisionLoop.java
+++ b/core/src/main/java/org/fuchsiawharf/core/loop/DecisionLoop.java
@@ -81,7 +81,7 @@
         try {
             processor.process(event, clock.nanos());
         } catch (RuntimeException | StackOverflowError e) {
-            // The next event does not depend on the depth of this one.
+            // An overflow leaves the stack empty for the next event.
             LOG.log(Level.ERROR, "decision failed on " + event.getClass().getSimpleName(), e);
         }
         if (endOfBatch) {
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -27,12 +27,13 @@
  * <p>A successful response must carry the id of the current call, and so must any response on a connection that has
  * carried another call before: without an id it may be a copy of an earlier refusal. A response with another id is a late
  * duplicate response to an earlier request and is skipped. A call that did not succeed is not repeated on the connection,
- * since a copy of its first response carries the same id. The connection is not reused after such a response, after bytes that
- * belong to no call, after a failed or cancelled call, after a response that closes the connection, or after a response
- * that arrived before the request was completely written. A body without a length is complete only if the server has
- * closed its side in order: a reset may be met by a write, which reports no failed read. A call fails as garbage if too many bytes arrive that are
- * neither the head nor the body of its response, or if the response exceeds the maximum size of the call. Confined to
- * the I/O thread.
+ * since a copy of its first response carries the same id.
+ *
+ * <p>The connection is not reused after a late duplicate, after bytes that belong to no call, after a failed or cancelled
+ * call, after a response that closes the connection, or after a response that arrived before the request was completely
+ * written. A body without a length is complete only if the server has closed its side in order: a reset may be met by a
+ * write, which reports no failed read. A call fails as garbage if too many bytes arrive that are neither the head nor the
+ * body of its response, or if the response exceeds the maximum size of the call. Confined to the I/O thread.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Idle timeout if the server announces none in a Keep-Alive field; shorter than the usual timeouts of servers. */
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/StreamRelay.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/StreamRelay.java
@@ -86,11 +86,13 @@
     /** Forwards bytes that follow the last event; {@link #flush} writes them. */
     void append(ByteBuf bytes) {
         ByteBuf target = unwritten;
-        if (target == null) {
+        if (target == null && bytes.isReadable()) {
             target = Unpooled.buffer(bytes.readableBytes());
             unwritten = target;
         }
-        target.writeBytes(bytes);
+        if (target != null) {
+            target.writeBytes(bytes);
+        }
     }
 
     /** Writes the forwarded events to the caller. */
