--- a/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
@@ -8,8 +8,10 @@
 import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.pieces.StageBacklog;
 import org.fuchsiawharf.core.quarantine.CrashEvidence;
+import org.fuchsiawharf.core.store.RequestEcho;
 import org.fuchsiawharf.core.store.StoreItem;
 import org.fuchsiawharf.core.store.StorePosition;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A message from one instance to another.
@@ -95,8 +97,9 @@
      *
      * @param known the latest position of the store known to the sender
      * @param follow whether the sender wants to be told of later changes too, for some seconds
+     * @param sentNanos the time on the sender's clock, to be returned with reports, null if it was not stated
      */
-    record AskState(StorePosition known, boolean follow) implements PeerMessage {}
+    record AskState(StorePosition known, boolean follow, @Nullable Long sentNanos) implements PeerMessage {}
 
     /**
      * Reports the changes in one response of the store to an instance that follows the sender.
@@ -106,9 +109,15 @@
      * @param changes the changes in the order of the store, empty if there were none
      * @param afterOutage whether a removed entry may reappear, because the store was unreachable shortly before
      * @param catchUp whether the sender answers a request with what it knew before, which confirms nothing of the store
+     * @param echo the latest request of the receiver, null if it stated no time
      */
     record StoreChanges(
-            StorePosition after, long revision, List<StoreItem> changes, boolean afterOutage, boolean catchUp)
+            StorePosition after,
+            long revision,
+            List<StoreItem> changes,
+            boolean afterOutage,
+            boolean catchUp,
+            @Nullable RequestEcho echo)
             implements PeerMessage {
         /** Makes the list immutable. */
         public StoreChanges {
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -8,6 +8,7 @@
 import org.fuchsiawharf.core.member.PeerMessage;
 import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.pieces.StageBacklog;
+import org.fuchsiawharf.core.store.RequestEcho;
 import org.fuchsiawharf.core.store.StoreItem;
 import org.fuchsiawharf.core.store.StorePosition;
 import org.fuchsiawharf.core.time.Clock;
@@ -60,10 +61,7 @@
                             PeerProto.Entry.newBuilder().setKey(key).setValue(ByteString.copyFrom(value))));
             frame.setEntries(builder);
         } else if (message instanceof PeerMessage.AskState ask) {
-            frame.setAskState(PeerProto.AskState.newBuilder()
-                    .setRevision(ask.known().revision())
-                    .setEra(ask.known().era())
-                    .setFollow(ask.follow()));
+            frame.setAskState(encodeRequest(ask));
         } else if (message instanceof PeerMessage.StoreChanges changes) {
             frame.setChanges(encodeChanges(changes));
         } else if (message instanceof PeerMessage.ShareEvidence evidence) {
@@ -92,12 +90,7 @@
                         frame.getRelease().getHandlesList());
             case HEARTBEAT -> decodeHeartbeat(frame.getHeartbeat());
             case ENTRIES -> decodeEntries(frame.getEntries());
-            case ASK_STATE ->
-                new PeerMessage.AskState(
-                        new StorePosition(
-                                frame.getAskState().getEra(),
-                                frame.getAskState().getRevision()),
-                        frame.getAskState().getFollow());
+            case ASK_STATE -> decodeRequest(frame.getAskState());
             case CHANGES -> decodeChanges(frame.getChanges());
             case EVIDENCE -> EvidenceCodec.decode(frame.getEvidence());
             case HELLO,
@@ -147,6 +140,25 @@
         return new PeerMessage.PassEntries(new StorePosition(pass.getEra(), pass.getRevision()), entries);
     }
 
+    private static PeerProto.AskState.Builder encodeRequest(PeerMessage.AskState request) {
+        PeerProto.AskState.Builder builder = PeerProto.AskState.newBuilder()
+                .setRevision(request.known().revision())
+                .setEra(request.known().era())
+                .setFollow(request.follow());
+        Long sentNanos = request.sentNanos();
+        if (sentNanos != null) {
+            builder.setSentNanos(sentNanos);
+        }
+        return builder;
+    }
+
+    private static PeerMessage decodeRequest(PeerProto.AskState request) {
+        return new PeerMessage.AskState(
+                new StorePosition(request.getEra(), request.getRevision()),
+                request.getFollow(),
+                request.hasSentNanos() ? request.getSentNanos() : null);
+    }
+
     private static PeerProto.StoreChanges.Builder encodeChanges(PeerMessage.StoreChanges message) {
         PeerProto.StoreChanges.Builder builder = PeerProto.StoreChanges.newBuilder()
                 .setEra(message.after().era())
@@ -154,6 +166,10 @@
                 .setRevision(message.revision())
                 .setAfterOutage(message.afterOutage())
                 .setCatchUp(message.catchUp());
+        RequestEcho echo = message.echo();
+        if (echo != null) {
+            builder.setRequestSentNanos(echo.sentNanos()).setRequestHeldNanos(echo.heldNanos());
+        }
         for (StoreItem change : message.changes()) {
             PeerProto.StoreItem.Builder encoded =
                     PeerProto.StoreItem.newBuilder().setKey(change.key()).setRevision(change.revision());
@@ -180,6 +196,9 @@
                 message.getRevision(),
                 changes,
                 message.getAfterOutage(),
-                message.getCatchUp());
+                message.getCatchUp(),
+                message.hasRequestSentNanos()
+                        ? new RequestEcho(message.getRequestSentNanos(), message.getRequestHeldNanos())
+                        : null);
     }
 }
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
@@ -147,8 +147,11 @@
         }
         // Read after the channel is selected: a restarted peer may read a lower version than its predecessor.
         int version = messageVersions.getOrDefault(peer, PeerCodec.UNSTATED_VERSION);
-        channel.writeAndFlush(codec.encode(message, version));
-        meters.count("peer_messages_sent", message.getClass().getSimpleName());
+        PeerProto.Frame frame = codec.encode(message, version);
+        channel.writeAndFlush(frame);
+        String kind = message.getClass().getSimpleName();
+        meters.count("peer_messages_sent", kind);
+        meters.count("peer_message_bytes_sent", kind, frame.getSerializedSize());
         return true;
     }
 
--- a/peer/src/test/java/org/fuchsiawharf/peer/TestPeerCodec.java
+++ b/peer/src/test/java/org/fuchsiawharf/peer/TestPeerCodec.java
@@ -16,6 +16,7 @@
 import org.fuchsiawharf.core.pieces.PoolKey;
 import org.fuchsiawharf.core.quarantine.CrashEvidence;
 import org.fuchsiawharf.core.quarantine.Suspect;
+import org.fuchsiawharf.core.store.RequestEcho;
 import org.fuchsiawharf.core.store.StorePosition;
 import org.fuchsiawharf.peer.generated.PeerProto;
 import org.junit.jupiter.api.Test;
@@ -166,8 +167,8 @@
     @Test
     void positionsOfTheStoreAreReadAsWritten() {
         StorePosition position = new StorePosition(2, 3);
-        for (PeerMessage message :
-                List.of(new PeerMessage.AskState(position, true), new PeerMessage.PassEntries(position, Map.of()))) {
+        for (PeerMessage message : List.of(
+                new PeerMessage.AskState(position, true, null), new PeerMessage.PassEntries(position, Map.of()))) {
             assertThat(codec.decode(codec.encode(message, PieceCodec.GROUPS_VERSION)), is(message));
         }
     }
@@ -175,7 +176,20 @@
     @Test
     void catchUpReplyIsReadAsWritten() {
         for (boolean catchUp : new boolean[] {true, false}) {
-            PeerMessage message = new PeerMessage.StoreChanges(new StorePosition(2, 3), 4, List.of(), true, catchUp);
+            PeerMessage message =
+                    new PeerMessage.StoreChanges(new StorePosition(2, 3), 4, List.of(), true, catchUp, null);
+            assertThat(codec.decode(codec.encode(message, PieceCodec.GROUPS_VERSION)), is(message));
+        }
+    }
+
+    @Test
+    void timesOfRequestsAreReturnedAsStated() {
+        StorePosition position = new StorePosition(2, 3);
+        for (PeerMessage message : List.of(
+                new PeerMessage.AskState(position, true, -5L),
+                new PeerMessage.AskState(position, true, 0L),
+                new PeerMessage.StoreChanges(position, 4, List.of(), false, false, new RequestEcho(-5, -7)),
+                new PeerMessage.StoreChanges(position, 4, List.of(), false, false, new RequestEcho(0, 0)))) {
             assertThat(codec.decode(codec.encode(message, PieceCodec.GROUPS_VERSION)), is(message));
         }
     }
--- a/peer/src/test/java/org/fuchsiawharf/peer/TestPeerNetwork.java
+++ b/peer/src/test/java/org/fuchsiawharf/peer/TestPeerNetwork.java
@@ -131,7 +131,7 @@
                 new PeerMessage.CancelPieces(POOL, "r"),
                 new PeerMessage.ReleaseResults(POOL, List.of("h1", "h2")),
                 new PeerMessage.Heartbeat(Map.of(POOL, new StageBacklog(List.of(1, 2, 3, 4, 5, 6), 3, 1)), true),
-                new PeerMessage.AskState(new StorePosition(0, 0), false));
+                new PeerMessage.AskState(new StorePosition(0, 0), false, null));
         for (PeerMessage message : messages) {
             assertThat(pair[0].network.send("b", message), is(true));
             assertThat(pair[1].nextMessage(), equalTo(message));
@@ -164,7 +164,7 @@
         PeerFixture a = new PeerFixture("a", freePort());
         a.network.setDesiredPeers(List.of(new Member("b", 1, "a", a.self.host(), port, 1)));
         assertThat(a.nextEvent(), is("down b"));
-        assertThat(a.network.send("b", new PeerMessage.AskState(new StorePosition(0, 0), false)), is(false));
+        assertThat(a.network.send("b", new PeerMessage.AskState(new StorePosition(0, 0), false, null)), is(false));
         new PeerFixture("b", port);
         String event = a.nextEvent();
         while (event.equals("down b")) {
@@ -215,7 +215,7 @@
                 out.writeInt(frame.length);
                 out.write(frame);
             }
-            assertThat(a.nextMessage(), is(new PeerMessage.AskState(new StorePosition(0, 0), false)));
+            assertThat(a.nextMessage(), is(new PeerMessage.AskState(new StorePosition(0, 0), false, null)));
         }
         awaitCount("peer_frames_dropped/unknown kind");
     }
