Do not take a late report of the store for a recent one

Callers saw: 404 for a route that an acknowledged configuration contained, at instances that follow watchers, for as long as the reports were late.

Cause: a follower took the arrival of a report for the time of what it says. A watcher whose messages are late by seconds kept its followers from polling for as long as it sent, however late they were.

Evidence: with both watchers delayed by 6 s, followers suspended their polls for the late reports and learned of a change only with its report.

Fix: a report confirms the store as of its age, which the follower measures by its own clock, and nothing if it is older than 0.6 s; the silence of 1.6 s runs from the response of the store. Reports that are late do not suspend polls any more.

--- a/core/src/main/java/org/fuchsiawharf/core/store/WatchDuty.java
+++ b/core/src/main/java/org/fuchsiawharf/core/store/WatchDuty.java
@@ -12,19 +12,24 @@
  * Decides whether this instance polls the store for changes itself.
  *
  * <p>It does while it is a selected watcher, while another instance follows it, and while no instance that it follows
- * has reported a response of the store for {@link #SILENCE_NANOS}: a watcher that has failed, stands still or is cut
- * off costs its followers no more than that. An instance that does not poll never reports, so that two instances
+ * has reported a recent response of the store for {@link #SILENCE_NANOS}: a watcher that has failed, stands still or is
+ * cut off, or whose reports arrive late, costs its followers no more than that. An instance that does not poll never reports, so that two instances
  * cannot confirm each other without the store.
  *
  * <p>Confined to the decision loop.
  */
 public final class WatchDuty {
     /**
-     * Time without a report after which an instance polls itself. Reports arrive at least as often as a poll of the
+     * Time without a recent report after which an instance polls itself. Reports arrive at least as often as a poll of the
      * store ends; with the poll that follows, a change is known before the shortest time for which an endpoint drains,
      * 2 s.
      */
     public static final long SILENCE_NANOS = 1_600_000_000L;
+    /**
+     * Age from which a report confirms nothing. The next report is then expected to be as old and a poll interval later,
+     * by which time the silence is too long.
+     */
+    public static final long MAX_REPORT_AGE_NANOS = 600_000_000L;
     /** Time for which a follower is sent reports after its last request. */
     private static final long FOLLOWER_NANOS = 5_000_000_000L;
 
@@ -45,9 +50,15 @@
         this.confirmedNanos = timers.now();
     }
 
-    /** Called when another instance has reported a response of the store that leaves no gap to the known state. */
-    public void onConfirmed() {
-        confirmedNanos = timers.now();
+    /**
+     * Called when another instance has reported a response of the store that leaves no gap to the known state.
+     *
+     * @param ageNanos the time since that instance had the response, at least 0
+     */
+    public void onConfirmed(long ageNanos) {
+        if (ageNanos <= MAX_REPORT_AGE_NANOS) {
+            confirmedNanos = Math.max(confirmedNanos, timers.now() - ageNanos);
+        }
     }
 
     /**
@@ -72,14 +83,14 @@
     /**
      * Checks whether this instance polls the store.
      *
-     * @return true if it is a watcher, is followed, or was told nothing for too long
+     * @return true if it is a watcher, is followed, or was told nothing recent for too long
      */
     public boolean isDue() {
         return isWatcher.getAsBoolean() || !getFollowers().isEmpty() || !isConfirmed();
     }
 
     /**
-     * Checks whether another instance has reported a response of the store lately.
+     * Checks whether another instance has reported a recent response of the store.
      *
      * @return true until the silence is too long
      */
--- a/core/src/test/java/org/fuchsiawharf/core/store/TestWatchDuty.java
+++ b/core/src/test/java/org/fuchsiawharf/core/store/TestWatchDuty.java
@@ -21,7 +21,7 @@
 
     @Test
     void watcherPollsAlsoWhileOthersReport() {
-        duty.onConfirmed();
+        duty.onConfirmed(0);
         assertThat(duty.isDue(), is(false));
         watcher = true;
         assertThat(duty.isDue(), is(true));
@@ -31,7 +31,7 @@
     @Test
     void pollsBeforeDrainingEndpointStopsWhenWatchersFallSilent() {
         timers.advance(10 * SECOND_NANOS);
-        duty.onConfirmed();
+        duty.onConfirmed(0);
         timers.advance(10 * SECOND_NANOS + WatchDuty.SILENCE_NANOS);
         assertThat(duty.isDue(), is(false));
         timers.advance(10 * SECOND_NANOS + WatchDuty.SILENCE_NANOS + 1);
@@ -39,13 +39,34 @@
         assertThat(WatchDuty.SILENCE_NANOS, is(lessThan(DRAIN_NANOS)));
     }
 
+    // Followers took any report for a recent one, and did not poll while all reports were late.
+    @Test
+    void lateReportsDelayNoPoll() {
+        timers.advance(10 * SECOND_NANOS);
+        for (int second = 11; second < 20; second++) {
+            timers.advance(second * SECOND_NANOS);
+            duty.onConfirmed(WatchDuty.MAX_REPORT_AGE_NANOS + 1);
+            assertThat(duty.isDue(), is(true));
+        }
+    }
+
+    @Test
+    void silenceIsCountedFromTheReportedResponse() {
+        timers.advance(10 * SECOND_NANOS);
+        duty.onConfirmed(WatchDuty.MAX_REPORT_AGE_NANOS);
+        timers.advance(10 * SECOND_NANOS + WatchDuty.SILENCE_NANOS - WatchDuty.MAX_REPORT_AGE_NANOS);
+        assertThat(duty.isDue(), is(false));
+        timers.advance(10 * SECOND_NANOS + WatchDuty.SILENCE_NANOS - WatchDuty.MAX_REPORT_AGE_NANOS + 1);
+        assertThat(duty.isDue(), is(true));
+    }
+
     @Test
     void pollsForFollowersWithoutBeingSelected() {
         duty.onFollowed("b");
         assertThat(duty.isDue(), is(true));
         assertThat(duty.getFollowers(), is(List.of("b")));
         timers.advance(5 * SECOND_NANOS);
-        duty.onConfirmed();
+        duty.onConfirmed(0);
         assertThat(duty.getFollowers(), is(empty()));
         assertThat(duty.isDue(), is(false));
     }
