--- a/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/PeerMessage.java
@@ -110,6 +110,7 @@
      * @param afterOutage whether a removed entry may reappear, because the store was unreachable shortly before
      * @param catchUp whether the sender answers a request with what it knew before, which confirms nothing of the store
      * @param echo the latest request of the receiver, null if it stated no time
+     * @param replyWanted whether further changes wait until the receiver asks again
      */
     record StoreChanges(
             StorePosition after,
@@ -117,7 +118,8 @@
             List<StoreItem> changes,
             boolean afterOutage,
             boolean catchUp,
-            @Nullable RequestEcho echo)
+            @Nullable RequestEcho echo,
+            boolean replyWanted)
             implements PeerMessage {
         /** Makes the list immutable. */
         public StoreChanges {
--- a/core/src/main/java/org/fuchsiawharf/core/store/StoreCopy.java
+++ b/core/src/main/java/org/fuchsiawharf/core/store/StoreCopy.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -48,7 +50,7 @@
     }
 
     /**
-     * Gets the changes after a position.
+     * Gets the latest change after a position of each item that changed.
      *
      * @param after the position, not null
      * @return the changes in the order of the store, null if they are not known
@@ -57,9 +59,14 @@
         if (historyStart < 0 || after.era() != position.era() || after.revision() < historyStart) {
             return null;
         }
-        return history.stream()
-                .filter(item -> item.revision() > after.revision())
-                .toList();
+        Map<String, StoreItem> latest = new LinkedHashMap<>();
+        for (StoreItem item : history) {
+            if (item.revision() > after.revision()) {
+                latest.remove(item.key());
+                latest.put(item.key(), item);
+            }
+        }
+        return List.copyOf(latest.values());
     }
 
     /**
@@ -75,14 +82,30 @@
         if (asOf.compareTo(position) < 0 && !isReplaceable) {
             return false;
         }
+        Map<String, byte[]> replaced = new HashMap<>(values);
+        boolean continuesHistory = historyStart >= 0 && asOf.era() == position.era() && asOf.compareTo(position) >= 0;
         values.clear();
-        history.clear();
         items.forEach(this::update);
         position = asOf;
-        historyStart = asOf.revision();
+        if (continuesHistory) {
+            rememberDifferences(replaced);
+        } else {
+            history.clear();
+            historyStart = asOf.revision();
+        }
         return true;
     }
 
+    // The revisions of the changes are not known; they are no later than that of the listing.
+    private void rememberDifferences(Map<String, byte[]> replaced) {
+        values.forEach((key, value) -> {
+            if (!Arrays.equals(value, replaced.remove(key))) {
+                remember(new StoreItem(key, position.revision(), value));
+            }
+        });
+        replaced.keySet().forEach(key -> remember(new StoreItem(key, position.revision(), null)));
+    }
+
     /**
      * Applies the changes between two revisions of one era.
      *
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerCodec.java
@@ -165,7 +165,8 @@
                 .setAfter(message.after().revision())
                 .setRevision(message.revision())
                 .setAfterOutage(message.afterOutage())
-                .setCatchUp(message.catchUp());
+                .setCatchUp(message.catchUp())
+                .setReplyWanted(message.replyWanted());
         RequestEcho echo = message.echo();
         if (echo != null) {
             builder.setRequestSentNanos(echo.sentNanos()).setRequestHeldNanos(echo.heldNanos());
@@ -199,6 +200,7 @@
                 message.getCatchUp(),
                 message.hasRequestSentNanos()
                         ? new RequestEcho(message.getRequestSentNanos(), message.getRequestHeldNanos())
-                        : null);
+                        : null,
+                message.getReplyWanted());
     }
 }
