Read less of one connection before the others get their turn

Cause: a connection was read four times in a turn, up to 256 KB, some 80,000 small events, and a request takes several turns of the one I/O thread. The earlier bound was chosen for bytes that are cheap to parse.

Fix: one read of at most 16 KB in a turn, for connections of callers and of endpoints alike.

--- a/relay/src/main/java/org/fuchsiawharf/relay/SocketOptions.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/SocketOptions.java
@@ -20,8 +20,13 @@
     /** Unanswered probes after which the connection is closed; two, so that one lost packet is tolerated. */
     private static final int KEEP_ALIVE_PROBES = 2;
 
-    /** Reads of a connection before others get their turn; a read returns up to 64 KB. */
-    private static final int MAX_READS_PER_TURN = 4;
+    /** Reads of a connection before others get their turn. */
+    private static final int MAX_READS_PER_TURN = 1;
+
+    private static final int MIN_RECEIVE_BUFFER_BYTES = 64;
+    private static final int INITIAL_RECEIVE_BUFFER_BYTES = 2_048;
+    /** Maximum number of bytes that one read returns; the smallest events are a few bytes long, and each costs time. */
+    private static final int MAX_RECEIVE_BUFFER_BYTES = 16_384;
 
     private SocketOptions() {}
 
@@ -32,7 +37,9 @@
      * @return a new allocator, never null
      */
     public static RecvByteBufAllocator createReceiveAllocator() {
-        return new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TURN);
+        return new AdaptiveRecvByteBufAllocator(
+                        MIN_RECEIVE_BUFFER_BYTES, INITIAL_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES)
+                .maxMessagesPerRead(MAX_READS_PER_TURN);
     }
 
     /**
