Collect a response of unknown size without copying it again

Operators saw: resident memory that rose from 84 to 192 MB while a few endpoints sent bodies without a length, and stayed there; small instances have 160 MB.

Cause: such a body was collected in one buffer that grows, by 4 MB at a time above 4 MB. A response of 15 MB allocated 46 MB of heap, and the collector of the JVM keeps the heap at the size that it needed once.

TestEndlessResponses.memoryAllocatedForResponseIsNearItsSize failed before (46 MB for 15 MB, bound 30 MB). The resident memory of a process was not measured again.

--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -1,7 +1,6 @@
 package org.fuchsiawharf.relay.edge;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -47,7 +46,7 @@
     private boolean notExecuted;
     private @Nullable HttpHeaders responseHead;
     private @Nullable EventParser eventParser;
-    private @Nullable ByteBuf bufferedBody;
+    private @Nullable BodyCollector bufferedBody;
     private int bufferedBytes;
     private boolean startReported;
     private long forwardedEvents;
@@ -117,7 +116,7 @@
         } else if (terms.stream() && code == OK) {
             onStreamHead(head);
         } else {
-            bufferedBody = Unpooled.buffer();
+            bufferedBody = new BodyCollector();
         }
     }
 
@@ -133,7 +132,7 @@
         } else if (resumes) {
             fail(CallFailure.GARBAGE, "the response to a resumed stream has the content type " + type);
         } else {
-            bufferedBody = Unpooled.buffer();
+            bufferedBody = new BodyCollector();
         }
     }
 
@@ -143,18 +142,17 @@
             return;
         }
         EventParser parser = eventParser;
-        ByteBuf buffer = bufferedBody;
+        BodyCollector body = bufferedBody;
         if (parser != null) {
             if (!parser.feed(data, this::onEvent) && !ended) {
                 fail(CallFailure.GARBAGE, "malformed event stream");
             }
-        } else if (buffer != null) {
-            // A retained slice of a small chunk would hold the whole receive buffer.
+        } else if (body != null) {
             int size = data.readableBytes();
-            buffer.writeBytes(data);
+            body.add(data);
             bufferedBytes += size;
             calls.addBufferedBytes(size);
-            if (buffer.readableBytes() > MAX_RESPONSE_BYTES) {
+            if (body.size() > MAX_RESPONSE_BYTES) {
                 fail(CallFailure.GARBAGE, "the response exceeds " + MAX_RESPONSE_BYTES + " bytes");
             } else if (calls.getBufferedBytes() > MAX_BUFFERED_BYTES && bufferedBytes > GUARANTEED_RESPONSE_BYTES) {
                 fail(CallFailure.GARBAGE, "the incomplete responses exceed " + MAX_BUFFERED_BYTES + " bytes");
@@ -204,7 +202,7 @@
         uncountBufferedBytes();
         HttpHeaders head = responseHead;
         EventParser parser = eventParser;
-        ByteBuf buffer = bufferedBody;
+        BodyCollector body = bufferedBody;
         if (parser != null && parser.hasPartialEvent()) {
             fail(CallFailure.LOST, "the stream ended within an event");
         } else if (parser != null && head != null && !isFramed(head) && latestId < 0) {
@@ -219,8 +217,8 @@
             parser.release();
             long count = forwardedEvents;
             calls.executeOnDecisionLoop(() -> listener.onStreamEnded(count));
-        } else if (buffer != null && head != null) {
-            completeBuffered(head, buffer);
+        } else if (body != null && head != null) {
+            completeBuffered(head, body);
         }
     }
 
@@ -231,7 +229,7 @@
                 : latestId == exchange.getStream().getLastId();
     }
 
-    private void completeBuffered(HttpHeaders head, ByteBuf buffer) {
+    private void completeBuffered(HttpHeaders head, BodyCollector body) {
         if (notExecuted) {
             onFailed(toNotExecutedFailure(head), "status " + status);
         } else if (exchange.getStream().isHeadSent()) {
@@ -239,7 +237,7 @@
         } else {
             ended = true;
             bufferedBody = null;
-            BufferedResponse response = new BufferedResponse(status, copyEndToEndFields(head), buffer);
+            BufferedResponse response = new BufferedResponse(status, copyEndToEndFields(head), body.complete());
             calls.executeOnDecisionLoop(() -> listener.onResponse(response));
         }
     }
@@ -291,10 +289,10 @@
         if (parser != null) {
             parser.release();
         }
-        ByteBuf buffer = bufferedBody;
+        BodyCollector body = bufferedBody;
         bufferedBody = null;
-        if (buffer != null && buffer.refCnt() > 0) {
-            buffer.release();
+        if (body != null) {
+            body.release();
         }
         exchange.setEndpointCall(null);
     }
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -11,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
+import com.sun.management.ThreadMXBean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -159,6 +161,27 @@
         }
     }
 
+    // A response without a length was copied to larger buffers over and over, which left the heap several times as
+    // large.
+    @Test
+    void memoryAllocatedForResponseIsNearItsSize() throws Exception {
+        int size = 15 << 20;
+        endpoint.then((r, s) -> {
+            write(s, head(r, 200) + "Connection: close\r\n\r\n" + "x".repeat(size));
+            s.close();
+        });
+        long ioThreadId = relay.process
+                .getIoThread()
+                .getLoop()
+                .submit(() -> Thread.currentThread().getId())
+                .get();
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = threads.getThreadAllocatedBytes(ioThreadId);
+        RawMessage response = relay.exchange(RelayFixture.request("GET", "/get/", "r1", "", ""));
+        assertThat(response.body().length(), is(size));
+        assertThat(threads.getThreadAllocatedBytes(ioThreadId) - before, is(lessThan(2L * size)));
+    }
+
     @Test
     void incompleteResponsesOfAllCallsAreBoundedTogether() throws Exception {
         String part = "x".repeat(12 << 20);
