--- a/core/src/main/java/org/fuchsiawharf/core/member/StoreReporter.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/StoreReporter.java
@@ -67,7 +67,7 @@
             }
             if (!progress.isWaiting(timers.now())) {
                 Changes changes = changesByStart.computeIfAbsent(progress.getSentPosition(), this::collectChanges);
-                send(follower, progress, changes);
+                send(follower, progress, changes, true);
             }
         });
     }
@@ -90,7 +90,7 @@
         FollowerProgress progress = progressByFollower.computeIfAbsent(from, name -> new FollowerProgress());
         progress.onRequest(request, timers.now());
         if (position.compareTo(progress.getSentPosition()) > 0 && !progress.isWaiting(timers.now())) {
-            send(from, progress, collectChanges(progress.getSentPosition()));
+            send(from, progress, collectChanges(progress.getSentPosition()), false);
         }
     }
 
@@ -106,7 +106,7 @@
                 : new Changes(after, copy.getChangesSince(after));
     }
 
-    private void send(String follower, FollowerProgress progress, Changes changes) {
+    private void send(String follower, FollowerProgress progress, Changes changes, boolean isResponse) {
         StorePosition position = copy.getPosition();
         List<StoreItem> items = changes.items();
         if (items == null) {
@@ -118,13 +118,12 @@
         }
         long bytes = sizeOf(items);
         RequestEcho echo = responded ? progress.createEcho(responseNanos) : null;
-        boolean isResponse = responded && timers.now() == responseNanos;
         PeerMessage.StoreChanges report = new PeerMessage.StoreChanges(
                 changes.after(),
                 position.revision(),
                 items,
                 progress.isAfterOutage(),
-                echo == null && !isResponse,
+                !isResponse && echo == null,
                 echo,
                 progress.isFull(bytes));
         boolean isSent = peers.send(follower, report);
--- a/core/src/main/java/org/fuchsiawharf/core/store/WatchDuty.java
+++ b/core/src/main/java/org/fuchsiawharf/core/store/WatchDuty.java
@@ -13,8 +13,8 @@
  *
  * <p>It does while it is a selected watcher, while another instance follows it, and while no instance that it follows
  * has reported a recent response of the store for {@link #SILENCE_NANOS}: a watcher that has failed, stands still or is
- * cut off, or whose reports arrive late, costs its followers no more than that. An instance that does not poll never reports, so that two instances
- * cannot confirm each other without the store.
+ * cut off, or whose reports arrive late, costs its followers no more than that. What an instance reports is as old as
+ * its own latest response, so that two instances cannot confirm each other without the store.
  *
  * <p>Confined to the decision loop.
  */
