--- a/core/src/main/java/org/fuchsiawharf/core/store/WatchDuty.java
+++ b/core/src/main/java/org/fuchsiawharf/core/store/WatchDuty.java
@@ -26,7 +26,7 @@
      */
     public static final long SILENCE_NANOS = 1_600_000_000L;
     /**
-     * Age from which a report confirms nothing. The next report is then expected to be as old and a poll interval later,
+     * Age beyond which a report confirms nothing. The next report is then expected to be as old and a poll interval later,
      * by which time the silence is too long.
      */
     public static final long MAX_REPORT_AGE_NANOS = 600_000_000L;
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndlessResponses.java
@@ -161,8 +161,7 @@
         }
     }
 
-    // A response without a length was copied to larger buffers over and over, which left the heap several times as
-    // large.
+    // A response without a length was copied to larger buffers over and over, which enlarged the heap.
     @Test
     void memoryAllocatedForResponseIsNearItsSize() throws Exception {
         int size = 15 << 20;
