Evacuate availability zones, and limit the requests to cold endpoints

Cause: the key by which an operator evacuates a zone was not read, and the cold time in the entries of endpoints was dropped. An endpoint that returns empty attracts more requests than it bears while it is cold.

Change: ZoneEvacuations withholds the endpoints of evacuated zones from the listing, so that requests, pieces, releases, retries and tunnels treat them as absent. ColdShares divides the rate of a cold endpoint among few instances, without messages and with room for two groups that do not know each other. EndpointUpdates takes what endpoints, the directory and the operator state from RelayInstance.

--- a/core/src/main/java/org/fuchsiawharf/core/member/MemberTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/MemberTable.java
@@ -29,9 +29,12 @@
     private final Map<String, Member> members = new TreeMap<>();
     private final Map<String, List<Member>> rankingByKey = new HashMap<>();
     private final Map<Role, List<Member>> rankingByRole = new HashMap<>();
+    private final Map<ZoneKey, List<Member>> rankingByZone = new HashMap<>();
 
     private record Role(String key, String zone, double neededCapacity) {}
 
+    private record ZoneKey(String key, String zone) {}
+
     /**
      * Creates a table that contains this instance only.
      *
@@ -96,6 +99,7 @@
         members.putAll(updated);
         rankingByKey.clear();
         rankingByRole.clear();
+        rankingByZone.clear();
         return true;
     }
 
@@ -109,6 +113,18 @@
         return rankingByKey.computeIfAbsent(key, k -> rank(k, 1, member -> 0));
     }
 
+    /**
+     * Ranks the members as owners of a key, those of an availability zone first.
+     *
+     * @param key the owned key, not null
+     * @param zone the preferred availability zone, not null
+     * @return an immutable list of every member, the owner first, never null
+     */
+    public List<Member> rankOwners(String key, String zone) {
+        return rankingByZone.computeIfAbsent(
+                new ZoneKey(key, zone), k -> rank(key, 1, member -> isIn(zone, member) ? 0 : 1));
+    }
+
     /**
      * Ranks the members for a role whose work grows with the fleet: those of the preferred availability zone first,
      * then those that bear the role, the rest by hashing. Larger members are preferred, as they have more to spare.
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
@@ -4,6 +4,7 @@
 
 import org.fuchsiawharf.core.health.HealthPolicy;
 import org.fuchsiawharf.core.limits.BrittleShares;
+import org.fuchsiawharf.core.limits.ColdShares;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.RequestShares;
 import org.fuchsiawharf.core.log.DecisionLog;
@@ -30,6 +31,7 @@
  * @param idleConnections limits the idle connections to endpoints
  * @param requestShares divides the request limits of endpoints among the instances
  * @param brittleShares divides the room at brittle endpoints among the instances
+ * @param coldShares divides the requests that cold endpoints bear among the instances
  * @param quarantine finds prompt parts and requests under which endpoints crash
  * @param origins finds the software versions that began streams
  * @param admission decides which requests are admitted
@@ -48,6 +50,7 @@
         IdleConnectionLimits idleConnections,
         RequestShares requestShares,
         BrittleShares brittleShares,
+        ColdShares coldShares,
         CrashQuarantine quarantine,
         StreamOrigins origins,
         RequestAdmission admission,
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -4,18 +4,14 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.fuchsiawharf.core.error.ErrorCode;
-import org.fuchsiawharf.core.model.EndpointStatus;
 import org.fuchsiawharf.core.quarantine.Suspect;
 import org.fuchsiawharf.core.route.PieceService;
 import org.fuchsiawharf.core.route.Route;
 import org.fuchsiawharf.core.route.RoutingConfig;
 import org.fuchsiawharf.core.route.ServiceSpec;
 import org.fuchsiawharf.core.route.Workspace;
-import org.fuchsiawharf.core.routing.Brittleness;
-import org.fuchsiawharf.core.routing.EndpointState;
 import org.fuchsiawharf.core.stream.StreamOrigin;
 import org.jspecify.annotations.Nullable;
 
@@ -37,6 +33,7 @@
     private static final long STOPPING_RETRY_MILLIS = 50;
 
     private final RelayContext context;
+    private final EndpointUpdates endpointUpdates;
     private final StageForecast forecast;
     private final Map<CallerExchange, RelayTask> tasks = new IdentityHashMap<>();
     private final Map<CallerExchange, RoutedRequest> takeUps = new IdentityHashMap<>();
@@ -52,6 +49,7 @@
      */
     public RelayInstance(RelayContext context) {
         this.context = context;
+        this.endpointUpdates = new EndpointUpdates(context);
         this.forecast = new StageForecast(this::findPieceService, context.pools()::getBacklog);
         context.requestShares().setStageOwners(context.pools()::rankOwners);
         context.brittleShares().setStageOwners(context.pools()::rankOwners);
@@ -75,6 +73,7 @@
         config = next;
         statistics.keySet().retainAll(next.getRouteNames());
         context.idleConnections().setServices(next.getServices().values());
+        context.coldShares().setServices(next.getServices().values());
         context.pools().setServices(next.getServices().values());
         context.log()
                 .write(
@@ -87,117 +86,12 @@
     }
 
     /**
-     * Applies a listing of all known endpoints.
+     * Gets the component that applies what is known of the endpoints.
      *
-     * @param endpoints the endpoints, not null
+     * @return the component, used on the decision loop, never null
      */
-    public void onEndpoints(List<EndpointStatus> endpoints) {
-        Set<String> changed = context.table().update(endpoints);
-        context.brittleShares().onListed(context.table().getEndpoints());
-        context.origins().getHistory().onListed(endpoints);
-        context.log().write("endpoints.changed", "known", endpoints.size(), "services", changed.toString());
-        context.pools().onEndpointsChanged();
-    }
-
-    /**
-     * Applies a load report that an endpoint sent with a response.
-     *
-     * @param endpoint the name of the endpoint, not null
-     * @param running the number of calls that the endpoint runs
-     * @param waiting the number of calls that the endpoint has queued
-     * @param slots the number of calls that the endpoint can run concurrently
-     */
-    public void onLoadReport(String endpoint, int running, int waiting, int slots) {
-        EndpointState state = context.table().getEndpoint(endpoint);
-        if (state != null) {
-            state.onReport(running, waiting, slots);
-            context.table().getPool(state.getEndpoint().service()).onReport(state);
-        }
-    }
-
-    /**
-     * Applies the request limit that an endpoint named, or its absence, in a response.
-     *
-     * @param endpoint the name of the endpoint, not null
-     * @param perSecond the requests per second that the endpoint accepts from all instances together; 0 if unlimited
-     * @param sentNanos the time at which the request of the response was sent, in nanoseconds
-     */
-    public void onRequestLimit(String endpoint, double perSecond, long sentNanos) {
-        EndpointState state = context.table().getEndpoint(endpoint);
-        if (state != null
-                && context.requestShares()
-                        .onNamed(state, perSecond, sentNanos, context.timers().now())) {
-            long intervalMillis = context.requestShares().getIntervalNanos(state) / 1_000_000;
-            context.log()
-                    .write(
-                            "endpoint.limit_changed",
-                            "endpoint",
-                            endpoint,
-                            "per_second",
-                            perSecond,
-                            "interval_ms",
-                            intervalMillis);
-        }
-    }
-
-    /**
-     * Applies that an endpoint stated in a response that it is brittle, or did not.
-     *
-     * @param endpoint the name of the endpoint, not null
-     * @param maxRejections the requests per second that the endpoint can reject for want of room, at least 0; {@link
-     *     Brittleness#NONE} if it is not brittle
-     * @param sentNanos the time at which the request of the response was sent, in nanoseconds
-     */
-    public void onBrittle(String endpoint, double maxRejections, long sentNanos) {
-        EndpointState state = context.table().getEndpoint(endpoint);
-        if (state != null && context.brittleShares().onNamed(state, maxRejections, sentNanos)) {
-            context.log()
-                    .write(
-                            "endpoint.brittle_changed",
-                            "endpoint",
-                            endpoint,
-                            "max_rejections",
-                            maxRejections == Brittleness.NONE ? null : maxRejections,
-                            "service",
-                            state.getEndpoint().service(),
-                            "own_calls",
-                            state.getInFlight());
-        }
-    }
-
-    /**
-     * Marks an endpoint that announced that it is leaving.
-     *
-     * @param endpoint the name of the endpoint, not null
-     */
-    public void onLeaving(String endpoint) {
-        EndpointState state = context.table().getEndpoint(endpoint);
-        if (state != null && !state.isLeaving()) {
-            context.log().write("endpoint.leaving", "endpoint", endpoint, "source", "answer");
-            state.onLeaving();
-        }
-    }
-
-    /**
-     * Sends no request of any kind to an endpoint for the time for which it asked, with a refusal.
-     *
-     * @param endpoint the name of the endpoint, not null
-     * @param nanos the time from now on, in nanoseconds
-     */
-    public void onPauseRequested(String endpoint, long nanos) {
-        EndpointState state = context.table().getEndpoint(endpoint);
-        if (state != null) {
-            context.log()
-                    .write(
-                            "endpoint.paused",
-                            "endpoint",
-                            endpoint,
-                            "millis",
-                            nanos / 1_000_000,
-                            "service",
-                            state.getEndpoint().service());
-            state.getRequestLimit().pauseUntil(context.timers().now() + nanos);
-        }
+    public EndpointUpdates getEndpointUpdates() {
+        return endpointUpdates;
     }
 
     /**
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointNotices.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointNotices.java
@@ -1,8 +1,8 @@
 package org.fuchsiawharf.core.routing;
 
 /**
- * What one incarnation of an endpoint has stated about itself: that it leaves, the requests that it accepts, and
- * whether it is brittle.
+ * What one incarnation of an endpoint has stated about itself: that it leaves, the requests that it accepts, whether it
+ * is cold, and whether it is brittle.
  *
  * <p>A statement that the endpoint leaves is never withdrawn. Confined to the decision loop.
  */
@@ -32,6 +32,7 @@
         return !leaving
                 && !brittleness.isNamed()
                 && requestLimit.getPerSecond() == 0
+                && requestLimit.getColdUntilNanos() == Long.MIN_VALUE
                 && requestLimit.getPausedUntilNanos() == Long.MIN_VALUE;
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
@@ -3,8 +3,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * The requests per second that an endpoint accepts from all instances together, this instance's share of them, and the
- * time until which it accepts none from this instance.
+ * The requests per second that an endpoint accepts from all instances together, because it named a limit or is cold, this
+ * instance's share of them, and the time until which it accepts none from this instance.
  *
  * <p>The share is an interval between two requests of this instance. Unused time is not saved up, so that the instances
  * together never send a burst.
@@ -12,12 +12,17 @@
  * <p>Confined to the decision loop.
  */
 public final class RequestLimit {
+    /** The interval of an instance that sends no requests. */
+    public static final long NEVER = Long.MAX_VALUE / 4;
+
     private double perSecond;
     private long firstNamedNanos;
     private long lastNamedNanos = Long.MIN_VALUE;
-    private long lastSentNanos;
+    private long lastSentNanos = Long.MIN_VALUE / 2;
     private double firstDelayShare;
     private LongSupplier intervalNanos = () -> 0;
+    private LongSupplier coldIntervalNanos = () -> 0;
+    private long coldUntilNanos = Long.MIN_VALUE;
     private long pausedUntilNanos = Long.MIN_VALUE;
 
     /**
@@ -95,16 +100,56 @@
     }
 
     /**
-     * Gets the time from which the limit permits a request.
+     * Limits the requests of this instance until the endpoint is warm; a later end that is known is kept.
+     *
+     * @param nanos the time at which the endpoint is warm, in nanoseconds
+     * @param interval gets the interval between two requests of this instance until then, in nanoseconds, not null
+     */
+    public void limitWhileCold(long nanos, LongSupplier interval) {
+        coldUntilNanos = Math.max(coldUntilNanos, nanos);
+        coldIntervalNanos = interval;
+    }
+
+    /**
+     * Checks whether the endpoint is cold.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     * @return true until the time at which it is warm
+     */
+    public boolean isCold(long nowNanos) {
+        return nowNanos < coldUntilNanos;
+    }
+
+    /**
+     * Gets the time at which the endpoint is warm.
+     *
+     * @return the time in nanoseconds, {@link Long#MIN_VALUE} if it never was cold
+     */
+    public long getColdUntilNanos() {
+        return coldUntilNanos;
+    }
+
+    /**
+     * Gets the time from which the limits permit a request.
      *
      * @return the time in nanoseconds; {@link Long#MIN_VALUE} if there is no limit
      */
     public long getNextSendNanos() {
+        long coldNextNanos = getNextColdSendNanos();
         if (perSecond == 0) {
-            return Long.MIN_VALUE;
+            return coldNextNanos;
         }
         long interval = intervalNanos.getAsLong();
-        return Math.max(lastSentNanos + interval, firstNamedNanos + (long) (firstDelayShare * interval));
+        long namedNextNanos = Math.max(lastSentNanos + interval, firstNamedNanos + (long) (firstDelayShare * interval));
+        return Math.max(coldNextNanos, namedNextNanos);
+    }
+
+    private long getNextColdSendNanos() {
+        if (coldUntilNanos == Long.MIN_VALUE) {
+            return Long.MIN_VALUE;
+        }
+        long interval = coldIntervalNanos.getAsLong();
+        return interval >= NEVER ? coldUntilNanos : Math.min(coldUntilNanos, lastSentNanos + interval);
     }
 
     /**
--- a/core/src/test/java/org/fuchsiawharf/core/pieces/FakePieceCalls.java
+++ b/core/src/test/java/org/fuchsiawharf/core/pieces/FakePieceCalls.java
@@ -36,6 +36,11 @@
             this.listener = listener;
         }
 
+        /** Gets the endpoint that was called. */
+        public Endpoint getEndpoint() {
+            return endpoint;
+        }
+
         /** Gets the pieces. */
         public List<PieceOrder> getOrders() {
             return orders;
--- a/core/src/test/java/org/fuchsiawharf/core/relay/BrittleEndpoints.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/BrittleEndpoints.java
@@ -224,9 +224,9 @@
         after(HOP_NANOS, () -> {
             RelayInstance relay = instances.apply(instance);
             if (reportsLoad) {
-                relay.onLoadReport(server.name, running, waiting, SLOTS);
+                relay.getEndpointUpdates().onLoadReport(server.name, running, waiting, SLOTS);
             }
-            relay.onBrittle(server.name, named, sentNanos);
+            relay.getEndpointUpdates().onBrittle(server.name, named, sentNanos);
             outcome.run();
         });
     }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -17,6 +17,7 @@
 
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.BrittleShares;
+import org.fuchsiawharf.core.limits.ColdShares;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
 import org.fuchsiawharf.core.limits.RequestShares;
@@ -361,6 +362,7 @@
                 new IdleConnectionLimits(() -> 1),
                 new RequestShares(members, instanceRandom),
                 new BrittleShares(members, timers::now, new SplittableRandom(1)),
+                new ColdShares(members, new ColdShares.Tolerance(1.5, 5)),
                 new CrashQuarantine(timers, part -> false, log),
                 new StreamOrigins(new VersionHistory(timers, instanceRandom), timers),
                 admission,
@@ -378,7 +380,7 @@
                 services,
                 WorkspaceKeys.NOT_REQUIRED,
                 CallerLimits.DEFAULT));
-        instance.onEndpoints(listing);
+        instance.getEndpointUpdates().onEndpoints(listing);
         return instance;
     }
 
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -8,6 +8,7 @@
 
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.BrittleShares;
+import org.fuchsiawharf.core.limits.ColdShares;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
 import org.fuchsiawharf.core.limits.RequestShares;
@@ -103,6 +104,7 @@
                 new RequestShares(members, random),
                 new BrittleShares(
                         members, timers::now, new SplittableRandom(self.name().hashCode() + 1)),
+                new ColdShares(members, new ColdShares.Tolerance(1.5, 5)),
                 quarantine,
                 new StreamOrigins(new VersionHistory(timers, random), timers),
                 new ObjectiveAdmission(),
@@ -138,7 +140,7 @@
             listing.add(status("s" + i, "encode", 40 + i));
         }
         listing.removeIf(status -> List.of(absent).contains(status.endpoint().name()));
-        instance.onEndpoints(listing);
+        instance.getEndpointUpdates().onEndpoints(listing);
     }
 
     static EndpointStatus status(String name, String service, int host) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestBrittleEndpoints.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestBrittleEndpoints.java
@@ -19,8 +19,8 @@
 
     private void nameAll(String... endpoints) {
         for (String endpoint : endpoints) {
-            fixture.instance.onLoadReport(endpoint, 0, 0, 1);
-            fixture.instance.onBrittle(endpoint, MAX_REJECTIONS, 0);
+            fixture.instance.getEndpointUpdates().onLoadReport(endpoint, 0, 0, 1);
+            fixture.instance.getEndpointUpdates().onBrittle(endpoint, MAX_REJECTIONS, 0);
         }
     }
 
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestBrittleEndpointsOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestBrittleEndpointsOfFleet.java
@@ -62,7 +62,7 @@
     }
 
     private void listEndpoints(List<EndpointStatus> listing) {
-        fleet.forEach(instance -> instance.instance.onEndpoints(listing));
+        fleet.forEach(instance -> instance.instance.getEndpointUpdates().onEndpoints(listing));
     }
 
     private void runUntil(long second, double requestsPerSecond) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestEndpointNotices.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestEndpointNotices.java
@@ -44,14 +44,14 @@
     }
 
     private void pause(String endpoint) {
-        fixture.instance.onPauseRequested(endpoint, PAUSE_MILLIS * 1_000_000L);
+        fixture.instance.getEndpointUpdates().onPauseRequested(endpoint, PAUSE_MILLIS * 1_000_000L);
     }
 
     // Requests were sent to an endpoint whose responses stated that it leaves.
     @Test
     void endpointThatStatesThatItLeavesReceivesNoRequest() {
         String first = endpointsOf(1).get(0);
-        fixture.instance.onLeaving(first);
+        fixture.instance.getEndpointUpdates().onLeaving(first);
         assertThat(endpointsOf(REQUESTS), not(hasItem(first)));
         // The entry in the store may still be that of a ready endpoint.
         fixture.listEndpoints();
@@ -93,8 +93,8 @@
     void laterEndOfPauseIsKept() {
         String first = endpointsOf(1).get(0);
         pause(first);
-        fixture.instance.onPauseRequested(first, 1);
-        fixture.instance.onRequestLimit(first, 0, Long.MAX_VALUE);
+        fixture.instance.getEndpointUpdates().onPauseRequested(first, 1);
+        fixture.instance.getEndpointUpdates().onRequestLimit(first, 0, Long.MAX_VALUE);
         assertThat(endpointsOf(REQUESTS), not(hasItem(first)));
     }
 
@@ -103,7 +103,7 @@
     @Test
     void endpointThatLeavesReceivesNoRequestAfterItsEntryExpiredAndReturned() {
         String first = endpointsOf(1).get(0);
-        fixture.instance.onLeaving(first);
+        fixture.instance.getEndpointUpdates().onLeaving(first);
         fixture.listEndpoints(first);
         fixture.listEndpoints();
         assertThat(endpointsOf(REQUESTS), not(hasItem(first)));
@@ -141,7 +141,7 @@
 
     private void listIncarnation(long incarnation) {
         Endpoint endpoint = RelayInstanceFixture.status("p0", "plain", 10).endpoint();
-        fixture.instance.onEndpoints(List.of(new EndpointStatus(endpoint, false, incarnation)));
+        fixture.instance.getEndpointUpdates().onEndpoints(List.of(new EndpointStatus(endpoint, false, incarnation)));
     }
 
     @Test
@@ -149,11 +149,11 @@
         fixture.advance(100);
         long sentNanos = fixture.timers.now();
         fixture.advance(10);
-        fixture.instance.onBrittle("p0", 4, sentNanos);
-        fixture.instance.onBrittle("p0", 4, sentNanos);
-        fixture.instance.onBrittle("p0", Brittleness.NONE, sentNanos);
+        fixture.instance.getEndpointUpdates().onBrittle("p0", 4, sentNanos);
+        fixture.instance.getEndpointUpdates().onBrittle("p0", 4, sentNanos);
+        fixture.instance.getEndpointUpdates().onBrittle("p0", Brittleness.NONE, sentNanos);
         assertThat(brittleness().getMaxRejections(), is(4.0));
-        fixture.instance.onBrittle("p0", Brittleness.NONE, fixture.timers.now());
+        fixture.instance.getEndpointUpdates().onBrittle("p0", Brittleness.NONE, fixture.timers.now());
         assertThat(brittleness().isNamed(), is(false));
         assertThat(Collections.frequency(fixture.loggedEvents, "endpoint.brittle_changed"), is(2));
     }
@@ -161,8 +161,8 @@
     @Test
     void restartedEndpointIsNotBrittleUntilItSaysSo() {
         listIncarnation(1);
-        fixture.instance.onBrittle("p0", 4, 0);
-        fixture.instance.onEndpoints(List.of());
+        fixture.instance.getEndpointUpdates().onBrittle("p0", 4, 0);
+        fixture.instance.getEndpointUpdates().onEndpoints(List.of());
         listIncarnation(1);
         assertThat(brittleness().isNamed(), is(true));
         listIncarnation(2);
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestPromptPartCrashesOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestPromptPartCrashesOfFleet.java
@@ -46,8 +46,9 @@
         CrashingEngines engines = new CrashingEngines(timers, ENGINES, seed);
         List<Member> members = members();
         members.forEach(member -> fleet.add(start(member, members, engines)));
-        engines.setOnListed(() -> fleet.forEach(i -> i.instance.onEndpoints(engines.list())));
-        fleet.forEach(i -> i.instance.onEndpoints(engines.list()));
+        engines.setOnListed(
+                () -> fleet.forEach(i -> i.instance.getEndpointUpdates().onEndpoints(engines.list())));
+        fleet.forEach(i -> i.instance.getEndpointUpdates().onEndpoints(engines.list()));
         return engines;
     }
 
@@ -67,7 +68,7 @@
     private void restart(int index, CrashingEngines engines) {
         List<Member> members = members();
         fleet.set(index, start(members.get(index), members, engines));
-        fleet.get(index).instance.onEndpoints(engines.list());
+        fleet.get(index).instance.getEndpointUpdates().onEndpoints(engines.list());
     }
 
     private RecordingExchange request(CrashingEngines engines, SplittableRandom random, String... shared) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestRelayInstance.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestRelayInstance.java
@@ -195,7 +195,7 @@
 
     @Test
     void sendsNothingToLeavingEndpoint() {
-        fixture.instance.onLeaving("p0");
+        fixture.instance.getEndpointUpdates().onLeaving("p0");
         for (int i = 0; i < 30; i++) {
             fixture.request("/get/x", 1_000);
         }
@@ -209,18 +209,18 @@
 
     @Test
     void usesRestartedEndpointWithSameName() {
-        fixture.instance.onLeaving("p0");
+        fixture.instance.getEndpointUpdates().onLeaving("p0");
         List<org.fuchsiawharf.core.model.EndpointStatus> listing = new ArrayList<>();
         listing.add(new org.fuchsiawharf.core.model.EndpointStatus(
                 RelayInstanceFixture.status("p0", "plain", 10).endpoint(), false, 2));
-        fixture.instance.onEndpoints(listing);
+        fixture.instance.getEndpointUpdates().onEndpoints(listing);
         fixture.request("/get/x", 1_000);
         assertThat(fixture.calls.last().endpoint.name(), is("p0"));
     }
 
     @Test
     void rejectsAtOnceIfNoEndpointIsListed() {
-        fixture.instance.onEndpoints(List.of());
+        fixture.instance.getEndpointUpdates().onEndpoints(List.of());
         RecordingExchange exchange = fixture.request("/post/x", 1_000);
         assertThat(exchange.outcomes, contains("NOT_RUN"));
         assertThat(exchange.refusals.get(0).retryAfterMillis(), is(greaterThan(0L)));
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestRepeatedRequestCrashesOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestRepeatedRequestCrashesOfFleet.java
@@ -87,8 +87,9 @@
             network.connect(member.name(), instance.quarantine);
             fleet.add(instance);
         }
-        engines.setOnListed(() -> fleet.forEach(i -> i.instance.onEndpoints(engines.list())));
-        fleet.forEach(i -> i.instance.onEndpoints(engines.list()));
+        engines.setOnListed(
+                () -> fleet.forEach(i -> i.instance.getEndpointUpdates().onEndpoints(engines.list())));
+        fleet.forEach(i -> i.instance.getEndpointUpdates().onEndpoints(engines.list()));
     }
 
     // All evidence is lost with the instances; the store reports to each new one what it keeps.
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestRequestLimitOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestRequestLimitOfFleet.java
@@ -65,7 +65,7 @@
             }
             double named = limitedEndpoints.contains(name) ? limit : 0;
             timers.schedule(sentNanos + RESPONSE_NANOS, () -> {
-                fleet.get(index).instance.onRequestLimit(name, named, sentNanos);
+                fleet.get(index).instance.getEndpointUpdates().onRequestLimit(name, named, sentNanos);
                 if (named > 0) {
                     toldNanos.putIfAbsent(index + name, timers.now());
                 }
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestSilentEndpoints.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestSilentEndpoints.java
@@ -39,10 +39,10 @@
 
     @Test
     void streamOfOnlyEndpointOfItsVersionIsNotCancelledBySilence() {
-        fixture.instance.onEndpoints(List.of(engine(0, "v1")));
+        fixture.instance.getEndpointUpdates().onEndpoints(List.of(engine(0, "v1")));
         RecordingExchange exchange = fixture.request("/chat/x", 3_900);
         fixture.calls.last().listener.onStreamStarted();
-        fixture.instance.onEndpoints(List.of(engine(0, "v1"), engine(1, "v2")));
+        fixture.instance.getEndpointUpdates().onEndpoints(List.of(engine(0, "v1"), engine(1, "v2")));
         fixture.advance(SILENCE_MILLIS);
         assertKept(fixture.calls.sent.get(0));
         fixture.calls.last().listener.onStreamEnded(2);
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestStreamVersion.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestStreamVersion.java
@@ -30,7 +30,7 @@
         for (int i = 0; i < ofSecondVersion; i++) {
             engines.add(engine("v2-" + i, 40 + i, "v2"));
         }
-        fixture.instance.onEndpoints(engines);
+        fixture.instance.getEndpointUpdates().onEndpoints(engines);
     }
 
     private static String versionOf(FakeEndpointCalls.SentCall call) {
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestStreamVersionsOfFleet.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestStreamVersionsOfFleet.java
@@ -68,7 +68,7 @@
         connection.connect(fixture.context.origins().getHistory());
         fixture.context.origins().getHistory().start();
         fixture.instance.applyConfig(RelayInstanceFixture.config(1, "plain"));
-        fixture.instance.onEndpoints(engines.list());
+        fixture.instance.getEndpointUpdates().onEndpoints(engines.list());
         fleet[index] = new Instance(fixture, calls, connection, nowMillis(), new ArrayList<>());
     }
 
@@ -90,7 +90,7 @@
         for (int i = firstOutOfStep ? 1 : 0; i < INSTANCES; i++) {
             Instance instance = fleet[i];
             if (instance != null) {
-                instance.fixture().instance.onEndpoints(engines.list());
+                instance.fixture().instance.getEndpointUpdates().onEndpoints(engines.list());
             }
         }
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/EndpointNoticeReader.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/EndpointNoticeReader.java
@@ -14,7 +14,7 @@
 
 /**
  * Reads what endpoints state about themselves in any response: that they leave, that they accept no requests for a
- * time, the request limits that they name, and that they are brittle.
+ * time, the request limits that they name, that they are cold, and that they are brittle.
  *
  * <p>Responses without a limit are passed on only for endpoints that have named one before. Responses of endpoints that
  * are not brittle are passed on while any endpoint is, since the endpoints of a service become brittle together.
@@ -25,6 +25,10 @@
     /** Longest time for which an endpoint can ask not to be sent requests, in seconds. */
     private static final double MAX_PAUSE_SECONDS = 600;
 
+    /** Longest time for which a response can state that its endpoint is cold, in milliseconds. */
+    private static final double MAX_COLD_MILLIS = 60_000;
+
+    private static final double NANOS_PER_MILLI = 1e6;
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final FieldNames names;
@@ -60,6 +64,14 @@
          */
         void onRequestLimit(String endpoint, double perSecond, long sentNanos);
 
+        /**
+         * Called for each response that states that its endpoint is cold.
+         *
+         * @param endpoint the name of the endpoint, not null
+         * @param untilNanos the time at which the endpoint is warm, in nanoseconds
+         */
+        void onCold(String endpoint, long untilNanos);
+
         /**
          * Called for each response that may change whether an endpoint is brittle.
          *
@@ -110,6 +122,7 @@
             readPause(endpoint, retryAfter);
         }
         readLimit(endpoint, fields, sentNanos);
+        readColdTime(endpoint, fields);
         readBrittleness(endpoint, fields, sentNanos);
     }
 
@@ -167,6 +180,20 @@
         }
     }
 
+    private void readColdTime(String endpoint, HttpHeaders fields) {
+        String value = fields.get(names.coldMillis());
+        if (value == null) {
+            return;
+        }
+        double millis = parse(value);
+        if (millis > 0) {
+            long nanos = (long) (Math.min(millis, MAX_COLD_MILLIS) * NANOS_PER_MILLI);
+            notifyListener(current -> current.onCold(endpoint, System.nanoTime() + nanos));
+        } else if (millis != 0) {
+            log.write("endpoint.cold_malformed", "endpoint", endpoint, "value", value);
+        }
+    }
+
     private void readBrittleness(String endpoint, HttpHeaders fields, long sentNanos) {
         for (String name : names.maxRejections()) {
             String value = fields.get(name);
--- a/relay/src/main/java/org/fuchsiawharf/relay/FieldNames.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/FieldNames.java
@@ -27,6 +27,7 @@
  *     these names
  * @param maxRejections the requests per second that the endpoint can reject for want of room, on responses of a brittle
  *     endpoint; any of these names
+ * @param coldMillis the time for which the endpoint stays cold, in milliseconds, on responses
  * @param reserved the fields that only an instance may set, removed from callers' requests
  */
 public record FieldNames(
@@ -48,6 +49,7 @@
         Set<String> leaving,
         Set<String> requestLimit,
         Set<String> maxRejections,
+        String coldMillis,
         Set<String> reserved) {
 
     /** The default header field names. */
@@ -70,6 +72,7 @@
             Set.of("wharf-leaving"),
             Set.of("wharf-request-limit"),
             Set.of("wharf-max-rejections"),
+            "wharf-cold-ms",
             Set.of());
 
     /** Creates the names with an immutable copy of the reserved fields. */
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
@@ -211,7 +211,8 @@
     void reportLoad(String endpoint, int running, int waiting, int slots) {
         RelayInstance relayInstance = instance;
         if (relayInstance != null) {
-            executeOnDecisionLoop(() -> relayInstance.onLoadReport(endpoint, running, waiting, slots));
+            executeOnDecisionLoop(
+                    () -> relayInstance.getEndpointUpdates().onLoadReport(endpoint, running, waiting, slots));
         }
     }
 }
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 
+import org.fuchsiawharf.core.limits.ColdShares;
 import org.fuchsiawharf.core.member.Member;
 import org.jspecify.annotations.Nullable;
 
@@ -18,6 +19,7 @@
  * @param retryAllowance the number of retries per window that all instances together may make
  *     beyond those earned by requests
  * @param retryWindowMillis the length of the window, in milliseconds
+ * @param coldTolerance what a cold endpoint may receive beyond the rate that it bears, from all instances together
  * @param gracePeriodMillis the longest time from the stop signal to the exit, in milliseconds
  */
 public record InstanceSettings(
@@ -28,4 +30,39 @@
         double retryRatio,
         double retryAllowance,
         long retryWindowMillis,
-        long gracePeriodMillis) {}
+        ColdShares.Tolerance coldTolerance,
+        long gracePeriodMillis) {
+
+    /**
+     * Creates settings with the defaults of what an operator may leave out.
+     *
+     * @param self the member entry of this instance, not null
+     * @param callerAddress the listen address for callers, not null
+     * @param statusAddress the listen address for status pages, not null
+     * @param metricsAddress another listen address for status pages, null if the metrics page is not served
+     * @param retryRatio the number of retries that each request adds to the retry budget of all instances
+     * @param retryAllowance the number of retries per window beyond those earned by requests
+     * @param retryWindowMillis the length of the window, in milliseconds
+     * @param gracePeriodMillis the longest time from the stop signal to the exit, in milliseconds
+     */
+    public InstanceSettings(
+            Member self,
+            InetSocketAddress callerAddress,
+            InetSocketAddress statusAddress,
+            @Nullable InetSocketAddress metricsAddress,
+            double retryRatio,
+            double retryAllowance,
+            long retryWindowMillis,
+            long gracePeriodMillis) {
+        this(
+                self,
+                callerAddress,
+                statusAddress,
+                metricsAddress,
+                retryRatio,
+                retryAllowance,
+                retryWindowMillis,
+                ColdShares.Tolerance.NONE,
+                gracePeriodMillis);
+    }
+}
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
@@ -9,6 +10,7 @@
 
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.BrittleShares;
+import org.fuchsiawharf.core.limits.ColdShares;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
 import org.fuchsiawharf.core.limits.RequestShares;
@@ -142,6 +144,7 @@
                 new IdleConnectionLimits(members::size),
                 new RequestShares(members, random),
                 new BrittleShares(members, System::nanoTime, random),
+                new ColdShares(members, settings.coldTolerance()),
                 quarantine,
                 origins,
                 new ObjectiveAdmission(),
@@ -154,22 +157,27 @@
         noticeReader.setListener(new EndpointNoticeReader.Listener() {
             @Override
             public void onLeaving(String endpoint) {
-                instance.onLeaving(endpoint);
+                instance.getEndpointUpdates().onLeaving(endpoint);
             }
 
             @Override
             public void onPauseRequested(String endpoint, long nanos) {
-                instance.onPauseRequested(endpoint, nanos);
+                instance.getEndpointUpdates().onPauseRequested(endpoint, nanos);
             }
 
             @Override
             public void onRequestLimit(String endpoint, double perSecond, long sentNanos) {
-                instance.onRequestLimit(endpoint, perSecond, sentNanos);
+                instance.getEndpointUpdates().onRequestLimit(endpoint, perSecond, sentNanos);
+            }
+
+            @Override
+            public void onCold(String endpoint, long untilNanos) {
+                instance.getEndpointUpdates().onCold(endpoint, untilNanos);
             }
 
             @Override
             public void onBrittle(String endpoint, double maxRejections, long sentNanos) {
-                instance.onBrittle(endpoint, maxRejections, sentNanos);
+                instance.getEndpointUpdates().onBrittle(endpoint, maxRejections, sentNanos);
             }
         });
         this.callerServer = new CallerServer(ioThread, names, instance, loop, log, meters);
@@ -300,11 +308,20 @@
      * @param endpoints all known endpoints, not null
      */
     public void setEndpoints(List<EndpointStatus> endpoints) {
-        instance.onEndpoints(endpoints);
+        instance.getEndpointUpdates().onEndpoints(endpoints);
         endpointCount = endpoints.size();
         endpointsKnown = true;
     }
 
+    /**
+     * Replaces the availability zones whose endpoints the operator has taken out of use; called on the decision loop.
+     *
+     * @param zones the names of the zones, not null
+     */
+    public void setEvacuatedZones(Set<String> zones) {
+        instance.getEndpointUpdates().onEvacuated(zones);
+    }
+
     /**
      * Gets the number of known endpoints.
      *
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/TunnelService.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/TunnelService.java
@@ -145,10 +145,10 @@
         loop.execute(() -> {
             RelayInstance current = instance;
             if (current != null && notice.leaving()) {
-                current.onLeaving(request.endpoint());
+                current.getEndpointUpdates().onLeaving(request.endpoint());
             }
             if (current != null && notice.pauseNanos() > 0) {
-                current.onPauseRequested(request.endpoint(), notice.pauseNanos());
+                current.getEndpointUpdates().onPauseRequested(request.endpoint(), notice.pauseNanos());
             }
         });
     }
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointNoticeReader.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointNoticeReader.java
@@ -35,6 +35,11 @@
                 notices.add(endpoint + " accepts " + perSecond);
             }
 
+            @Override
+            public void onCold(String endpoint, long untilNanos) {
+                notices.add(endpoint + " is cold");
+            }
+
             @Override
             public void onBrittle(String endpoint, double maxRejections, long sentNanos) {
                 notices.add(endpoint + " can reject " + maxRejections);
@@ -58,6 +63,17 @@
         assertThat(notices, contains("e leaves", "e leaves"));
     }
 
+    // Guards against an endpoint that is sent the usual load because its statement that it is cold is ignored.
+    @Test
+    void readsColdTimeAndLogsMalformedOnes() {
+        read(200, "wharf-cold-ms", "1200");
+        read(200, "wharf-cold-ms", "0");
+        read(200, "wharf-cold-ms", "-5");
+        read(200, "wharf-cold-ms", "soon");
+        assertThat(notices, contains("e is cold"));
+        assertThat(events, contains("endpoint.cold_malformed", "endpoint.cold_malformed"));
+    }
+
     @Test
     void readsPauseFromRefusalOnly() {
         read(503, "Retry-After", "1.5");
