Place calls by the duration of work that endpoints state

Cause: the fourth figure of the load field, how long work takes at an endpoint at this moment, was not read.

Change: EndpointLoad keeps the stated figures with their age. Where a service states durations, ExpectedCompletionSelector expects what the endpoint stated, considers a second endpoint of the hash ring for a prefix, and counts the cost of moving the results of stages from the zone in which they lie. Services that state three figures are served as before.

--- a/benchmarks/src/main/java/org/fuchsiawharf/benchmarks/RoutingBenchmark.java
+++ b/benchmarks/src/main/java/org/fuchsiawharf/benchmarks/RoutingBenchmark.java
@@ -60,7 +60,7 @@
         table.update(statuses);
         pool = table.getPool("llm");
         for (EndpointState state : pool.getEndpoints()) {
-            state.onReport(random.nextInt(16), 0, 16);
+            state.onReport(random.nextInt(16), 0, 16, 0);
             state.onCompleted(random.nextLong(400_000_000, 600_000_000));
         }
     }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/PieceTerms.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/PieceTerms.java
@@ -33,6 +33,16 @@
      * @return the wait, in nanoseconds
      */
     public long crossZoneWaitNanos() {
-        return Math.min(MAX_CROSS_ZONE_WAIT_NANOS, crossZoneBytes() / 1_000 * CROSS_ZONE_WAIT_NANOS_PER_KB);
+        return crossZoneWaitNanos(crossZoneBytes());
+    }
+
+    /**
+     * Gets the wait that is preferred to a transfer of data to another availability zone.
+     *
+     * @param bytes the size of the data, in bytes
+     * @return the wait, in nanoseconds
+     */
+    public static long crossZoneWaitNanos(long bytes) {
+        return Math.min(MAX_CROSS_ZONE_WAIT_NANOS, bytes / 1_000 * CROSS_ZONE_WAIT_NANOS_PER_KB);
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -171,6 +171,7 @@
         if (!ended) {
             firstEventForwarded = true;
             firstEventNanos = timers.now();
+            pool.onStreamStarted(endpoint, elapsedNanos(), firstEventNanos);
             RequestDecisionLog.writeStreamBegun(context.log(), routedRequest, endpoint);
             callbacks.onFirstEvent(elapsedNanos());
         }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
@@ -1,7 +1,14 @@
 package org.fuchsiawharf.core.relay;
 
 import java.util.Comparator;
-
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.fuchsiawharf.core.pieces.PieceTerms;
+import org.fuchsiawharf.core.route.PieceStage;
+import org.fuchsiawharf.core.route.Route;
+import org.fuchsiawharf.core.routing.EndpointSelector;
 import org.fuchsiawharf.core.routing.EndpointState;
 import org.fuchsiawharf.core.routing.ServicePool;
 import org.jspecify.annotations.Nullable;
@@ -24,6 +31,7 @@
     private @Nullable ServicePool reservedPool;
     private @Nullable ServicePool reservedRoom;
     private boolean waitsForRoom;
+    private EndpointSelector.@Nullable InputPlace inputs;
 
     EndpointChoice(RelayContext context, String service, long prefixKey) {
         this.context = context;
@@ -45,6 +53,26 @@
         waitsForRoom = true;
     }
 
+    /** Prefers the availability zone that holds most of the results of the stages from now on. */
+    void onInputsReady(List<String> handles, Route route) {
+        Map<String, Integer> countByZone = new HashMap<>();
+        handles.forEach(handle -> countByZone.merge(findZone(handle), 1, Integer::sum));
+        long resultBytes =
+                route.stages().stream().mapToLong(PieceStage::resultBytes).max().orElse(0);
+        long costNanos = PieceTerms.crossZoneWaitNanos(handles.size() * resultBytes);
+        inputs = countByZone.entrySet().stream()
+                .filter(entry -> !entry.getKey().isEmpty())
+                .max(Map.Entry.comparingByValue())
+                .map(entry -> new EndpointSelector.InputPlace(entry.getKey(), costNanos))
+                .orElse(null);
+    }
+
+    /** Finds the availability zone of a result, empty if its producer is not known. */
+    String findZone(String handle) {
+        EndpointState producer = context.table().findByHandle(handle);
+        return producer == null ? "" : producer.getEndpoint().zone();
+    }
+
     /** Selects an endpoint to which a request may be sent now; null if there is none. */
     @Nullable
     EndpointState select(@Nullable EndpointState failed) {
@@ -52,7 +80,10 @@
         ServicePool pool = getPool();
         EndpointState avoided = failed != null && pool.getEndpoints().contains(failed) ? failed : null;
         context.health().allowProbes(pool, now);
-        EndpointState selected = context.selector().select(pool, prefixKey, avoided, now);
+        EndpointSelector.InputPlace place = inputs;
+        EndpointState selected = place == null
+                ? context.selector().select(pool, prefixKey, avoided, now)
+                : context.selector().select(pool, prefixKey, avoided, place, now);
         if (selected != null) {
             return selected;
         }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointUpdates.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointUpdates.java
@@ -115,11 +115,26 @@
     public void onLoadReport(String endpoint, int running, int waiting, int slots) {
         EndpointState state = context.table().getEndpoint(endpoint);
         if (state != null) {
-            state.onReport(running, waiting, slots);
+            state.onReport(running, waiting, slots, context.timers().now());
             context.table().getPool(state.getEndpoint().service()).onReport(state);
         }
     }
 
+    /**
+     * Applies the duration of work that an endpoint stated with a response.
+     *
+     * @param endpoint the name of the endpoint, not null
+     * @param ratio the ratio to the usual duration of its service, plausible
+     */
+    public void onDurationReport(String endpoint, double ratio) {
+        EndpointState state = context.table().getEndpoint(endpoint);
+        if (state != null) {
+            context.table()
+                    .getPool(state.getEndpoint().service())
+                    .onDuration(state, ratio, context.timers().now());
+        }
+    }
+
     /**
      * Applies the request limit that an endpoint named, or its absence, in a response.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -163,6 +163,7 @@
     public void onStagesReady(List<String> handles) {
         if (!ended) {
             inputs = handles;
+            choice.onInputsReady(handles, routedRequest.route());
             stagesNanos = timers.now() - arrivedNanos;
             context.meters().time("stages_seconds", routedRequest.route().name(), stagesNanos);
             statistics.onStagesDone(estimatedMillis, stagesNanos / (double) NANOS_PER_MILLI);
@@ -292,8 +293,7 @@
 
     @Override
     public String findZone(String handle) {
-        EndpointState producer = context.table().findByHandle(handle);
-        return producer == null ? "" : producer.getEndpoint().zone();
+        return choice.findZone(handle);
     }
 
     private void onDeadline() {
--- a/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
+++ b/core/src/main/java/org/fuchsiawharf/core/request/InstanceDecisions.java
@@ -298,7 +298,7 @@
         if (state == null) {
             return;
         }
-        state.onReport(report.running(), report.waiting(), report.slots());
+        state.onReport(report.running(), report.waiting(), report.slots(), timers.now());
         table.getPool(state.getEndpoint().service()).onReport(state);
         if (report.leaving()) {
             state.onLeaving();
@@ -417,7 +417,7 @@
                 state.getEndpoint().zone(),
                 stateName.toLowerCase(Locale.ROOT),
                 state.getInFlight(),
-                state.getReportedCalls(),
+                state.getLoad().getReportedCalls(),
                 state.getServiceTime().getMean() / NANOS_PER_MILLI);
     }
 
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
@@ -35,7 +35,7 @@
     private boolean listed = true;
     private int inFlight;
     private int inFlightAtLastReport;
-    private int reportedCalls;
+    private final EndpointLoad load = new EndpointLoad();
     private double othersInFlight;
     private int slots = DEFAULT_SLOTS;
     private long lastCacheSequence = -1;
@@ -158,12 +158,12 @@
     }
 
     /**
-     * Gets the number of running and waiting calls in the last load report.
+     * Gets the load that the endpoint last stated.
      *
-     * @return the count
+     * @return the load, never null
      */
-    public int getReportedCalls() {
-        return reportedCalls;
+    public EndpointLoad getLoad() {
+        return load;
     }
 
     /**
@@ -227,11 +227,7 @@
         return serviceTime;
     }
 
-    /**
-     * Gets the estimate of the interval between two tokens.
-     *
-     * @return the estimate, never null
-     */
+    /** Gets the estimate of the interval between two tokens; never null. */
     public LatencyEstimate getTokenInterval() {
         return tokenInterval;
     }
@@ -304,12 +300,13 @@
      * @param running the number of calls running at the endpoint
      * @param waiting the number of calls waiting at the endpoint
      * @param reportedSlots the number of calls that the endpoint runs concurrently, at least 1
+     * @param nowNanos the current time, in nanoseconds
      */
-    public void onReport(int running, int waiting, int reportedSlots) {
-        reportedCalls = running + waiting;
+    public void onReport(int running, int waiting, int reportedSlots, long nowNanos) {
+        load.onCounts(running, waiting, inFlight, nowNanos);
         slots = Math.max(1, reportedSlots);
         getBrittleness().onReport(running, waiting, slots);
-        double sample = Math.max(0, reportedCalls - inFlightAtLastReport);
+        double sample = Math.max(0, running + waiting - inFlightAtLastReport);
         othersInFlight += OTHERS_SMOOTHING * (sample - othersInFlight);
         inFlightAtLastReport = inFlight;
     }
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
@@ -10,7 +10,9 @@
  * <p>The sample consists of the prefix's endpoint on the hash ring and of random endpoints of the instance's own and of
  * the other availability zones. If none of them is available, a larger sample is drawn; the endpoint to avoid is
  * selected last. The lowest score is selected: the expected time to completion, which is raised for an endpoint in its
- * slow start, plus the cost of leaving the zone, minus the saving by a cached prefix. Random sampling keeps instances
+ * slow start, plus the cost of leaving the zone, minus the saving by a cached prefix. Where endpoints state the duration
+ * of work, the expected time follows what they state, and the prefix may also go to the next endpoint on the hash ring, so
+ * that a slow or full endpoint does not hold up the requests of a prefix. Random sampling keeps instances
  * with the same stale reports from all selecting the same endpoint. A selection allocates no memory. Confined to the
  * decision loop.
  */
@@ -42,8 +44,24 @@
     @Override
     public @Nullable EndpointState select(
             ServicePool pool, long prefixKey, @Nullable EndpointState avoid, long nowNanos) {
-        selection.begin(pool, prefixKey, avoid, nowNanos);
+        return select(pool, prefixKey, avoid, nowNanos, null);
+    }
+
+    @Override
+    public @Nullable EndpointState select(
+            ServicePool pool, long prefixKey, @Nullable EndpointState avoid, InputPlace inputs, long nowNanos) {
+        return select(pool, prefixKey, avoid, nowNanos, inputs);
+    }
+
+    private @Nullable EndpointState select(
+            ServicePool pool,
+            long prefixKey,
+            @Nullable EndpointState avoid,
+            long nowNanos,
+            @Nullable InputPlace inputs) {
+        selection.begin(pool, prefixKey, avoid, nowNanos, inputs);
         selection.consider(selection.prefixEndpoint);
+        selection.consider(selection.nextPrefixEndpoint);
         sample(pool.getOwnZoneEndpoints(), OWN_ZONE_SAMPLES);
         sample(pool.getOtherZoneEndpoints(), OTHER_ZONE_SAMPLES);
         if (selection.best == null) {
@@ -79,15 +97,26 @@
     private final class Selection {
         private ServicePool pool = new ServicePool("none");
         private @Nullable EndpointState prefixEndpoint;
+        private @Nullable EndpointState nextPrefixEndpoint;
+        private @Nullable InputPlace inputs;
         private @Nullable EndpointState avoid;
         private @Nullable EndpointState best;
         private long prefixKey;
         private long nowNanos;
         private double bestScore;
 
-        private void begin(ServicePool servicePool, long key, @Nullable EndpointState avoided, long now) {
+        private void begin(
+                ServicePool servicePool,
+                long key,
+                @Nullable EndpointState avoided,
+                long now,
+                @Nullable InputPlace inputPlace) {
             pool = servicePool;
+            inputs = inputPlace;
             prefixEndpoint = servicePool.getPrefixEndpoint(key);
+            nextPrefixEndpoint = prefixEndpoint != null && servicePool.isDurationStated()
+                    ? servicePool.getNextPrefixEndpoint(key, prefixEndpoint)
+                    : null;
             avoid = avoided;
             best = null;
             prefixKey = key;
@@ -109,16 +138,24 @@
         }
 
         private double score(EndpointState state) {
-            double score = state.getExpectedNanos(pool.getServiceTime().getMean(), pool.getMeanOthersInFlight())
-                    / slowStartShare(state, nowNanos);
-            if (!state.isOwnZone()) {
-                score += crossZoneNanos;
-            }
-            if (state == prefixEndpoint || state.hasPrefix(prefixKey)) {
-                score -= prefixSavingNanos;
+            boolean stated = pool.isDurationStated();
+            double expectedNanos = stated
+                    ? pool.getStatedNanos(state, nowNanos)
+                    : state.getExpectedNanos(pool.getServiceTime().getMean(), pool.getMeanOthersInFlight());
+            double score = expectedNanos / slowStartShare(state, nowNanos) + getZoneCostNanos(state);
+            if (state == prefixEndpoint || state == nextPrefixEndpoint || state.hasPrefix(prefixKey)) {
+                score -= stated ? prefixSavingNanos * pool.getDurationRatio(state, nowNanos) : prefixSavingNanos;
             }
             return score;
         }
+
+        private double getZoneCostNanos(EndpointState state) {
+            InputPlace place = inputs;
+            if (place != null && !place.zone().equals(state.getEndpoint().zone())) {
+                return place.transferCostNanos();
+            }
+            return state.isOwnZone() ? 0 : crossZoneNanos;
+        }
     }
 
     private static double slowStartShare(EndpointState state, long nowNanos) {
--- a/core/src/main/java/org/fuchsiawharf/core/routing/HashRing.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/HashRing.java
@@ -59,12 +59,26 @@
      */
     @org.jspecify.annotations.Nullable
     EndpointState getEndpointFor(long prefixKey, int maxSteps) {
+        return getEndpointFor(prefixKey, maxSteps, null);
+    }
+
+    /**
+     * Gets the first usable endpoint for a prefix, in ring order, other than a given one.
+     *
+     * @param prefixKey the hash of the prefix
+     * @param maxSteps the maximum number of ring points to visit
+     * @param excluded the endpoint that is passed over, null for none
+     * @return the endpoint, null if none of the visited endpoints is usable
+     */
+    @org.jspecify.annotations.Nullable
+    EndpointState getEndpointFor(
+            long prefixKey, int maxSteps, @org.jspecify.annotations.Nullable EndpointState excluded) {
         int found = Arrays.binarySearch(points, prefixKey);
         int start = found >= 0 ? found : -found - 1;
         int steps = Math.min(maxSteps, points.length);
         for (int i = 0; i < steps; i++) {
             EndpointState endpoint = endpoints[(start + i) % endpoints.length];
-            if (endpoint.isUsable()) {
+            if (endpoint != excluded && endpoint.isUsable()) {
                 return endpoint;
             }
         }
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
@@ -13,6 +13,8 @@
  */
 public final class ServicePool {
     private static final int MAX_RING_STEPS = 64;
+    /** Part of the usual time to the first event by which a waiting prompt delays the next one. */
+    private static final double WAITING_STREAM_SHARE = 0.5;
 
     private final String service;
     private final ServicePool whole;
@@ -20,9 +22,15 @@
     private EndpointState[] ownZoneEndpoints = new EndpointState[0];
     private EndpointState[] otherZoneEndpoints = new EndpointState[0];
     private static final double OTHERS_SMOOTHING = 0.05;
+    /** Assumed time to the first event of a stream before the first measurement. */
+    private static final double PRIOR_START_NANOS = 150e6;
 
     private final LatencyEstimate serviceTime = new LatencyEstimate(0);
+    private final LatencyEstimate startTime = new LatencyEstimate(PRIOR_START_NANOS);
     private double meanOthersInFlight;
+    private double meanWaiting;
+    private double meanDurationRatio = 1;
+    private boolean durationStated;
     private HashRing ring = HashRing.of(List.of());
     private boolean requestReserved;
 
@@ -103,6 +111,18 @@
         return prefixKey == 0 ? null : ring.getEndpointFor(prefixKey, MAX_RING_STEPS);
     }
 
+    /**
+     * Gets the endpoint to which the hash ring assigns a prefix if another endpoint does not get it.
+     *
+     * @param prefixKey the hash of the prefix, 0 for none
+     * @param first the endpoint that is passed over, not null
+     * @return a usable endpoint, null if there is no prefix or no other usable endpoint nearby on the ring
+     */
+    @Nullable
+    EndpointState getNextPrefixEndpoint(long prefixKey, EndpointState first) {
+        return prefixKey == 0 ? null : ring.getEndpointFor(prefixKey, MAX_RING_STEPS, first);
+    }
+
     /**
      * Checks whether any endpoint accepts new calls, regardless of its occupancy.
      *
@@ -127,12 +147,75 @@
     }
 
     /**
-     * Updates the mean of the other instances' calls after an endpoint's load report.
+     * Updates the means of the service after an endpoint's load report.
      *
      * @param state the endpoint, not null
      */
     public void onReport(EndpointState state) {
         meanOthersInFlight += OTHERS_SMOOTHING * (state.getOthersInFlight() - meanOthersInFlight);
+        meanWaiting += OTHERS_SMOOTHING * (state.getLoad().getWaiting() - meanWaiting);
+    }
+
+    /**
+     * Applies the duration of work that an endpoint stated.
+     *
+     * @param state the endpoint, not null
+     * @param ratio the ratio to the usual duration of the service, plausible
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onDuration(EndpointState state, double ratio, long nowNanos) {
+        state.getLoad().onDuration(ratio, nowNanos);
+        meanDurationRatio = durationStated ? meanDurationRatio + OTHERS_SMOOTHING * (ratio - meanDurationRatio) : ratio;
+        durationStated = true;
+    }
+
+    /**
+     * Records the time to the first event of a stream.
+     *
+     * @param state the endpoint, not null
+     * @param nanos the time since the call was sent, in nanoseconds
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onStreamStarted(EndpointState state, long nanos, long nowNanos) {
+        startTime.add(nanos / state.getLoad().getDurationRatio(meanDurationRatio, nowNanos));
+    }
+
+    /**
+     * Checks whether endpoints of the service state the duration of work.
+     *
+     * @return true once one has
+     */
+    boolean isDurationStated() {
+        return whole.durationStated;
+    }
+
+    /**
+     * Gets the expected duration of work at an endpoint.
+     *
+     * @param state the endpoint, not null
+     * @param nowNanos the current time, in nanoseconds
+     * @return the ratio to the usual duration of the service
+     */
+    double getDurationRatio(EndpointState state, long nowNanos) {
+        return state.getLoad().getDurationRatio(whole.meanDurationRatio, nowNanos);
+    }
+
+    /**
+     * Gets the expected time until an endpoint has done a new call, or has sent the first event of a stream, from the
+     * load and the speed that it stated.
+     *
+     * @param state the endpoint, not null
+     * @param nowNanos the current time, in nanoseconds
+     * @return the time in nanoseconds
+     */
+    double getStatedNanos(EndpointState state, long nowNanos) {
+        double ratio = getDurationRatio(state, nowNanos);
+        double waiting = state.getLoad().getWaiting(whole.meanWaiting, state.getInFlight(), nowNanos);
+        double running = Math.min(1, state.getLoad().getRunning() / (double) state.getSlots());
+        boolean streams = whole.startTime.getCount() >= whole.serviceTime.getCount();
+        double waitingShare = streams ? WAITING_STREAM_SHARE : 1.0 / state.getSlots();
+        double nanos = (streams ? whole.startTime : whole.serviceTime).getMean();
+        return nanos * ratio * (1 + running + waitingShare * waiting);
     }
 
     /**
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -301,15 +301,11 @@
         if (value == null) {
             return;
         }
-        String[] parts = value.split(",");
-        try {
-            calls.reportLoad(
-                    endpoint.name(),
-                    Integer.parseInt(parts[0].trim()),
-                    Integer.parseInt(parts[1].trim()),
-                    Integer.parseInt(parts[2].trim()));
-        } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
+        LoadReport report = LoadReport.parse(value);
+        if (report == null) {
             calls.getLog().write("endpoint.load_malformed", "endpoint", endpoint.name(), "value", value);
+        } else {
+            calls.reportLoad(endpoint.name(), report);
         }
     }
 
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCalls.java
@@ -18,6 +18,7 @@
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.relay.CallerExchange;
 import org.fuchsiawharf.core.relay.EndpointCalls;
+import org.fuchsiawharf.core.relay.EndpointUpdates;
 import org.fuchsiawharf.core.relay.RelayInstance;
 import org.fuchsiawharf.relay.EndpointNoticeReader;
 import org.fuchsiawharf.relay.FieldNames;
@@ -208,11 +209,17 @@
         return log;
     }
 
-    void reportLoad(String endpoint, int running, int waiting, int slots) {
+    void reportLoad(String endpoint, LoadReport report) {
         RelayInstance relayInstance = instance;
-        if (relayInstance != null) {
-            executeOnDecisionLoop(
-                    () -> relayInstance.getEndpointUpdates().onLoadReport(endpoint, running, waiting, slots));
+        if (relayInstance == null) {
+            return;
         }
+        EndpointUpdates updates = relayInstance.getEndpointUpdates();
+        executeOnDecisionLoop(() -> {
+            updates.onLoadReport(endpoint, report.running(), report.waiting(), report.slots());
+            if (report.isDurationStated()) {
+                updates.onDurationReport(endpoint, report.durationRatio());
+            }
+        });
     }
 }
