Leave a zone after a few connects to its endpoints have failed

Cause: an instance that is cut off from a zone found its endpoints one by one. Each connect fails after 0.4 s, and a cut of 5 s was over before the 28 endpoints of two other zones were known.

Change: ZoneReach suspects a zone for a second once connects to three of its endpoints have failed without a response from the zone in between; the selection and the stage pools use other zones then. A response ends the suspicion.

--- a/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/FleetStagePool.java
@@ -324,7 +324,7 @@
         @Override
         public void onAnswered(List<PieceCalls.Answer> answers) {
             end();
-            endpoint.getBrittleness().onAccepted();
+            endpoints.onAnswered(endpoint);
             long durationNanos = timers.now() - sentNanos;
             endpoint.onCompleted((long) (NOMINAL_CALL_NANOS * durationNanos / expectedNanos));
             health.onSuccess(table.getPool(service), endpoint, false, timers.now());
@@ -408,6 +408,7 @@
             callLog.writeFailed(start, failure.getWireName(), detail, timers.now() - sentNanos);
             meters.count("stage_failures", failure.getWireName());
             batch.forEach(task -> resultSpace.addUsed(name, -task.order.terms().resultBytes()));
+            endpoints.onFailed(endpoint, failure);
             boolean refused = failure == CallFailure.REFUSED;
             if (refused) {
                 endpoints.backOff(endpoint, sentNanos);
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 
 import org.fuchsiawharf.core.health.HealthPolicy;
+import org.fuchsiawharf.core.model.Endpoint;
+import org.fuchsiawharf.core.port.CallFailure;
 import org.fuchsiawharf.core.routing.EndpointState;
 import org.fuchsiawharf.core.routing.EndpointTable;
 import org.fuchsiawharf.core.routing.ServicePool;
@@ -49,6 +51,11 @@
         if (usable.isEmpty()) {
             usable = ejected;
         }
+        // An instance that does not reach a zone would find its endpoints by one call after the other that fails.
+        long now = timers.now();
+        if (usable.stream().anyMatch(endpoint -> !pool.isInSuspectedZone(endpoint, now))) {
+            usable.removeIf(endpoint -> pool.isInSuspectedZone(endpoint, now));
+        }
         usable.sort(Comparator.comparing(EndpointState::isEjected)
                 .thenComparingDouble(e -> e.getServiceTime().getMean()));
         return usable;
@@ -91,6 +98,18 @@
         endpoint.onEnded();
     }
 
+    void onAnswered(EndpointState endpoint) {
+        endpoint.getBrittleness().onAccepted();
+        table.getZoneReach().onResponse(endpoint.getEndpoint().zone());
+    }
+
+    void onFailed(EndpointState endpoint, CallFailure failure) {
+        if (failure == CallFailure.NOT_SENT) {
+            Endpoint target = endpoint.getEndpoint();
+            table.getZoneReach().onNotConnected(target.zone(), target.name(), timers.now());
+        }
+    }
+
     private boolean isBackingOff(String name) {
         Long untilNanos = backoffUntilNanos.get(name);
         if (untilNanos != null && untilNanos <= timers.now()) {
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.port.CallFailure;
 import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.routing.EndpointState;
@@ -170,6 +171,7 @@
     public void onStreamStarted() {
         if (!ended) {
             firstEventForwarded = true;
+            context.table().getZoneReach().onResponse(endpoint.getEndpoint().zone());
             firstEventNanos = timers.now();
             pool.onStreamStarted(endpoint, elapsedNanos(), firstEventNanos);
             RequestDecisionLog.writeStreamBegun(context.log(), routedRequest, endpoint);
@@ -211,6 +213,7 @@
     }
 
     private void onAnswered() {
+        context.table().getZoneReach().onResponse(endpoint.getEndpoint().zone());
         endpoint.getBrittleness().onAccepted();
         context.quarantine().onAnswered(routedRequest.suspects(), endpoint.getProcess());
     }
@@ -225,6 +228,14 @@
         }
     }
 
+    private void reportReach(CallFailure failure) {
+        Endpoint target = endpoint.getEndpoint();
+        if (failure == CallFailure.NOT_SENT
+                && context.table().getZoneReach().onNotConnected(target.zone(), target.name(), timers.now())) {
+            context.log().write("zone.suspected", "zone", target.zone(), "endpoint", target.name());
+        }
+    }
+
     @Override
     public void onFailed(CallFailure failure, String detail) {
         if (ended) {
@@ -254,6 +265,7 @@
                         "fingerprint",
                         routedRequest.fingerprint());
         reportCrash(failure);
+        reportReach(failure);
         if (failure == CallFailure.REFUSED) {
             endpoint.getBrittleness().onRejected(endpoint.getSlots(), startNanos);
         }
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointTable.java
@@ -28,6 +28,7 @@
     private static final int MAX_ABSENT_NOTICES = 4_096;
 
     private final String zone;
+    private final ZoneReach zoneReach;
     private final Supplier<ConcurrencyLimit> limitFactory;
     private final Map<String, EndpointState> byName = new HashMap<>();
     private final Map<String, EndpointState> byAddress = new HashMap<>();
@@ -47,6 +48,7 @@
      */
     public EndpointTable(String zone, Supplier<ConcurrencyLimit> limitFactory) {
         this.zone = zone;
+        this.zoneReach = new ZoneReach(zone);
         this.limitFactory = limitFactory;
     }
 
@@ -80,6 +82,15 @@
         return slash < 0 ? null : byAddress.get(handle.substring(0, slash));
     }
 
+    /**
+     * Gets the availability zones that this instance probably does not reach.
+     *
+     * @return the zones, never null
+     */
+    public ZoneReach getZoneReach() {
+        return zoneReach;
+    }
+
     /**
      * Gets the states of all endpoints.
      *
@@ -96,7 +107,7 @@
      * @return the pool, never null
      */
     public ServicePool getPool(String service) {
-        return pools.computeIfAbsent(service, ServicePool::new);
+        return pools.computeIfAbsent(service, s -> new ServicePool(s, zoneReach));
     }
 
     /**
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
@@ -22,6 +22,8 @@
     private static final int FALLBACK_SAMPLES = 8;
     private static final double SLOW_START_NANOS = 4e9;
     private static final double MIN_SLOW_START_SHARE = 0.2;
+    /** Cost of an endpoint in a suspected zone, beyond any expected time, so that it is selected last. */
+    private static final double SUSPECTED_ZONE_NANOS = 1e12;
 
     private final SplittableRandom random;
     private final double crossZoneNanos;
@@ -64,7 +66,7 @@
         selection.consider(selection.nextPrefixEndpoint);
         sample(pool.getOwnZoneEndpoints(), OWN_ZONE_SAMPLES);
         sample(pool.getOtherZoneEndpoints(), OTHER_ZONE_SAMPLES);
-        if (selection.best == null) {
+        if (selection.best == null || selection.bestScore >= SUSPECTED_ZONE_NANOS) {
             sample(pool.getOwnZoneEndpoints(), FALLBACK_SAMPLES);
             sample(pool.getOtherZoneEndpoints(), FALLBACK_SAMPLES);
         }
@@ -143,6 +145,9 @@
                     ? pool.getStatedNanos(state, nowNanos)
                     : state.getExpectedNanos(pool.getServiceTime().getMean(), pool.getMeanOthersInFlight());
             double score = expectedNanos / slowStartShare(state, nowNanos) + getZoneCostNanos(state);
+            if (pool.isInSuspectedZone(state, nowNanos)) {
+                score += SUSPECTED_ZONE_NANOS;
+            }
             if (state == prefixEndpoint || state == nextPrefixEndpoint || state.hasPrefix(prefixKey)) {
                 score -= stated ? prefixSavingNanos * pool.getDurationRatio(state, nowNanos) : prefixSavingNanos;
             }
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
@@ -18,6 +18,7 @@
 
     private final String service;
     private final ServicePool whole;
+    private final ZoneReach zoneReach;
     private final List<EndpointState> endpoints = new ArrayList<>();
     private EndpointState[] ownZoneEndpoints = new EndpointState[0];
     private EndpointState[] otherZoneEndpoints = new EndpointState[0];
@@ -40,8 +41,19 @@
      * @param service the name of the service, not null
      */
     public ServicePool(String service) {
+        this(service, new ZoneReach(""));
+    }
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param service the name of the service, not null
+     * @param zoneReach the availability zones that the instance does not reach, not null
+     */
+    ServicePool(String service, ZoneReach zoneReach) {
         this.service = service;
         this.whole = this;
+        this.zoneReach = zoneReach;
     }
 
     /**
@@ -52,6 +64,7 @@
     ServicePool(ServicePool whole) {
         this.service = whole.service;
         this.whole = whole;
+        this.zoneReach = whole.zoneReach;
     }
 
     /**
@@ -137,6 +150,17 @@
         return false;
     }
 
+    /**
+     * Checks whether this instance probably does not reach the availability zone of an endpoint.
+     *
+     * @param state the endpoint, not null
+     * @param nowNanos the current time, in nanoseconds
+     * @return true if the endpoint is to be used only if there are no others
+     */
+    public boolean isInSuspectedZone(EndpointState state, long nowNanos) {
+        return zoneReach.isSuspected(state.getEndpoint().zone(), nowNanos);
+    }
+
     /**
      * Gets the mean number of other instances' calls at an endpoint.
      *
