Take a status below 200 or above 599 for a failed call

Callers saw: responses with the status 0, 99, 101 or 999 of an endpoint, on repeatable and non-repeatable routes; a non-repeatable request sent again after a status 0 or 999 with the field that says that it did not run. The store's client took such a response for an answer.

Cause: ClientConnection compared the class of a status only with success and informational, so that any other code counted as an error response. 101 was exempt from being skipped, though no request asks for an upgrade: the field Upgrade of a caller is not forwarded.

Change: a status of no class, and 101, fails the call as GARBAGE, which may have run, and closes its connection. Other informational responses are skipped as before. The decoder is that of endpoints, stages and the store.

--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -29,7 +29,8 @@
  * <p>A successful response must carry the id of the current call, and so must any response on a connection that has
  * carried another call before: without an id it may be a copy of an earlier refusal. A response with another id is a late
  * duplicate response to an earlier request and is skipped. A call that did not succeed is not repeated on the connection,
- * since a copy of its first response carries the same id.
+ * since a copy of its first response carries the same id. A head with the status 101, below 100 or above 599 is no
+ * response: the call fails as garbage. Other informational responses are skipped.
  *
  * <p>The connection is not reused after a late duplicate, after bytes that belong to no call, after a failed or cancelled
  * call, after a response that closes the connection, or after a response that arrived before the request was completely
@@ -180,8 +181,14 @@
                     "malformed response: " + response.decoderResult().cause());
             return;
         }
-        boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                && response.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+        // No call asks for an upgrade, so that 101 is as invalid as a code of no class.
+        HttpStatusClass statusClass = response.status().codeClass();
+        if (statusClass == HttpStatusClass.UNKNOWN
+                || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            fail(CallFailure.GARBAGE, "invalid status " + response.status().code());
+            return;
+        }
+        boolean informational = statusClass == HttpStatusClass.INFORMATIONAL;
         String expected = openCall.httpCall.expectedId();
         String id = expected == null ? null : response.headers().get(client.getRequestIdField());
         boolean forOtherRequest = id != null && !id.equals(expected);
@@ -193,7 +200,7 @@
         if (skippingResponse) {
             return;
         }
-        boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+        boolean success = statusClass == HttpStatusClass.SUCCESS;
         if (expected != null && id == null && (success || carriedEarlierCall)) {
             fail(CallFailure.GARBAGE, "the response has no request id");
             return;
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestEndpointCalls.java
@@ -143,10 +143,19 @@
                 brokenAnswer(
                         "encoded",
                         (r, s) -> write(s, head(r, 200) + "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nzzzz")),
+                brokenAnswer("status 000", withStatus("000")),
+                brokenAnswer("status 099", withStatus("099")),
+                brokenAnswer("status 101 without an upgrade", withStatus("101")),
+                brokenAnswer("status 600", withStatus("600")),
+                brokenAnswer("status 999", withStatus("999")),
                 brokenAnswer("closed without an answer", (r, s) -> s.close()),
                 brokenAnswer("reset without an answer", (r, s) -> reset(s)));
     }
 
+    private static ScriptedEndpoint.Step withStatus(String status) {
+        return (r, s) -> write(s, response(r, 200, "fine").replaceFirst("200", status));
+    }
+
     private static Arguments brokenAnswer(String name, ScriptedEndpoint.Step step) {
         return Arguments.of(name, step);
     }
@@ -171,6 +180,33 @@
         assertThat(endpoint.requests, hasSize(1));
     }
 
+    // A response with an invalid status was passed on, and the next request was sent on its connection.
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "101", "600", "999"})
+    void connectionIsNotReusedAfterInvalidStatus(String status) throws Exception {
+        endpoint.then(withStatus(status)).then(SUCCEED);
+        assertThat(send("/get/", "r1").body(), is("fine"));
+        assertThat(endpoint.connectionCount, is(2));
+    }
+
+    // An invalid status with the field of rejections was taken for proof that the request had not run.
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "999"})
+    void invalidStatusDoesNotProveThatRequestDidNotRun(String status) throws Exception {
+        endpoint.then((r, s) ->
+                        write(s, "HTTP/1.1 " + status + " X\r\nWharf-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
+                .then(SUCCEED);
+        assertThat(send("/post/", "r1").status(), is(502));
+        assertThat(endpoint.requests, hasSize(1));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {100, 102, 103, 199})
+    void skipsInformationalResponse(int status) throws Exception {
+        endpoint.then((r, s) -> write(s, "HTTP/1.1 " + status + " X\r\n\r\n" + response(r, 200, "fine")));
+        assertThat(send("/post/", "r1").body(), is("fine"));
+    }
+
     @Test
     void retriesNonIdempotentRequestThatEndpointDidNotExecute() throws Exception {
         endpoint.then((r, s) -> write(s, "HTTP/1.1 503 X\r\nWharf-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
