Fail calls of the product's client on an invalid status

Cause: HttpCall passed on each status that Undertow parses, also 0, 99, 101 and 999. The field that says that a call did not run was believed with each of them. An informational response other than 100, such as 103, was taken for the response, since Undertow skips 100 only.

Change: a status below 200 or above 599 fails the call, which may have run, and closes its connection.

TestCutResponses.responseWithInvalidStatusIsNotComplete failed before; responseAfterContinueIsComplete is a guard.

--- a/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
+++ b/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
@@ -11,6 +11,7 @@
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import org.jspecify.annotations.Nullable;
 import org.xnio.ChannelListeners;
@@ -23,8 +24,8 @@
  * Sends one request and receives its response on one I/O thread.
  *
  * <p>The handler is notified exactly once of either the end or a failure, unless the call is cancelled. A response that
- * arrives faster than it is handled does not block the thread's other calls. Confined to its I/O thread, except for
- * {@link #cancel}, which is thread-safe.
+ * arrives faster than it is handled does not block the thread's other calls. A status below 200 or above 599 is no
+ * response: the call fails. Confined to its I/O thread, except for {@link #cancel}, which is thread-safe.
  */
 public final class HttpCall {
     // Bytes that a call may handle before the thread's other calls are served: a few milliseconds of parsing.
@@ -32,6 +33,11 @@
     // The shortest delay that lets the thread select; with a full quantum between delays, it allows 256 MB/s.
     private static final long READ_DELAY_MILLIS = 1;
 
+    /** The least status of a response; Undertow skips an informational response only if its status is 100. */
+    private static final int MIN_STATUS = 200;
+
+    private static final int MAX_STATUS = 599;
+
     private final HttpClient client;
     private final HttpTarget target;
     private final ClientRequest request;
@@ -141,8 +147,13 @@
         if (ended) {
             return;
         }
-        handler.onHead(
-                exchange.getResponse().getResponseCode(), exchange.getResponse().getResponseHeaders());
+        int status = exchange.getResponse().getResponseCode();
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            fail(new IOException("invalid status " + status));
+            return;
+        }
+        HeaderMap fields = exchange.getResponse().getResponseHeaders();
+        handler.onHead(status, fields);
         StreamSourceChannel channel = exchange.getResponseChannel();
         channel.getReadSetter().set(c -> readBody(channel));
         readBody(channel);
--- a/http/src/test/java/org/fuchsiawharf/http/client/TestCutResponses.java
+++ b/http/src/test/java/org/fuchsiawharf/http/client/TestCutResponses.java
@@ -26,6 +26,7 @@
     private static final int TIMEOUT_SECONDS = 20;
     private static final int MAX_REQUEST_BYTES = 4_096;
     private static final long READ_MILLIS = 5;
+    private static final int FAILED = -1;
 
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
     private static final String WITH_LENGTH = HEAD + "Content-Length: 2\r\n\r\n{}";
@@ -37,6 +38,11 @@
     private ServerSocket server;
     private HttpClient client;
 
+    /** Ends the connection of a response. */
+    private interface Ending {
+        void end(Socket socket) throws Exception;
+    }
+
     @BeforeEach
     void start() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -79,6 +85,19 @@
         assertThat(isCompleted(response, false), is(true));
     }
 
+    // An invalid status, and that of an informational response, was passed on as the status of the response.
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "101", "103", "600", "999"})
+    void responseWithInvalidStatusIsNotComplete(String status) throws Exception {
+        assertThat(isCompleted(WITH_LENGTH.replace("200 OK", status + " X"), false), is(false));
+    }
+
+    @Test
+    void responseAfterContinueIsComplete() throws Exception {
+        String responses = "HTTP/1.1 100 Continue\r\n\r\n" + WITH_LENGTH;
+        assertThat(getStatus(new byte[0], responses, Socket::close), is(200));
+    }
+
     // -----------------------------------------------------------------------
 
     private List<String> findCompletedCuts(String response, int maxBytes, boolean reset) throws Exception {
@@ -93,23 +112,32 @@
     }
 
     private boolean isCompleted(String part, boolean reset) throws Exception {
+        return getStatus(new byte[0], part, reset ? TestCutResponses::reset : Socket::close) != FAILED;
+    }
+
+    private int getStatus(byte[] requestBody, String part, Ending ending) throws Exception {
+        HttpTarget target = new HttpTarget("127.0.0.1", server.getLocalPort());
         BodyCollector collector = new BodyCollector();
-        client.get(new HttpTarget("127.0.0.1", server.getLocalPort()), "/", Map.of(), collector);
+        if (requestBody.length == 0) {
+            client.get(target, "/", Map.of(), collector);
+        } else {
+            client.post(target, "/", Map.of(), requestBody, true, collector);
+        }
         try (Socket socket = server.accept()) {
             // Closing the socket with unread request bytes would reset the connection.
             socket.getInputStream().read(new byte[MAX_REQUEST_BYTES]);
             socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
-            if (reset) {
-                // A reset discards bytes that the client has not read.
-                Thread.sleep(READ_MILLIS);
-                socket.setSoLinger(true, 0);
-            }
-        }
-        try {
-            collector.getFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-            return true;
+            ending.end(socket);
+            return collector.getFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS).status();
         } catch (ExecutionException e) {
-            return false;
+            return FAILED;
         }
     }
+
+    private static void reset(Socket socket) throws Exception {
+        // A reset discards bytes that the client has not read.
+        Thread.sleep(READ_MILLIS);
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
 }
