Do not take an early response for complete because its connection ends

Callers saw: 12 bytes with 200 and Content-Length: 12 after an upload of 3 MB, of which the endpoint had read the head when it answered and closed its side. On a streaming route, the stream ended as a whole one.

Cause: a body without a length was complete if the server had closed its side in order, also while the request was being written. A server that gives up closes in order too, and its reset follows unseen, since a side that has ended is not read again.

Change: ClientConnection records whether the operating system had taken over the whole request when the head of the response arrived. If not, the end of the connection is no end of the response, also if the rest of the request is written before it: the call fails as LOST. Netty writes before it reads, so the write of a request that the server has read is always known as done. Responses with a length or chunks count as before, and the connection is closed with the rest of the request unsent.

--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -35,7 +35,8 @@
  * <p>The connection is not reused after a late duplicate, after bytes that belong to no call, after a failed or cancelled
  * call, after a response that closes the connection, or after a response that arrived before the request was completely
  * written. A body without a length is complete only if the server has closed its side in order: a reset may be met by a
- * write, which reports no failed read. A call fails as garbage if too many bytes arrive that are neither the head nor the
+ * write, which reports no failed read. It is incomplete also if the response began before the request was completely
+ * written: a server that ends its side then may have given up. A call fails as garbage if too many bytes arrive that are neither the head nor the
  * body of its response, or if the response exceeds the maximum size of the call. Confined to the I/O thread.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
@@ -64,6 +65,9 @@
     private boolean reuseForbidden;
     private boolean readFailed;
     private boolean responseComplete;
+    /** Whether the whole request had been passed to the operating system when the head of the response arrived. */
+    private boolean writtenBeforeResponse;
+
     /** Number of bytes received on the connection when a response head or body data was last decoded. */
     private long receivedBytesAtProgress;
 
@@ -211,9 +215,8 @@
         }
         updateKeepAlive(response);
         ChannelFuture writeFuture = requestWritten;
-        if (writeFuture == null || !writeFuture.isDone()) {
-            reuseForbidden = true;
-        }
+        writtenBeforeResponse = writeFuture != null && writeFuture.isSuccess();
+        reuseForbidden |= !writtenBeforeResponse;
         receivedBytesAtProgress = decoder.getReceivedBytes();
         client.onHead(channel, response.status().code(), response.headers());
         openCall.getListener().onHead(response.status().code(), response.headers());
@@ -262,6 +265,8 @@
         }
         if (last && (readFailed || decoder.isAborted())) {
             fail(CallFailure.LOST, "the connection was reset within the body");
+        } else if (last && decoder.isInputEnded() && !writtenBeforeResponse) {
+            fail(CallFailure.LOST, "the response ended with its connection and began before the request was written");
         } else if (last) {
             responseComplete = true;
             // The connection returns to the pool in channelReadComplete, so that bytes after the response are detected
--- a/relay/src/test/java/org/fuchsiawharf/relay/ScriptedEndpoint.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/ScriptedEndpoint.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 
@@ -28,6 +29,7 @@
 
     private final ServerSocket server;
     private final LinkedBlockingQueue<Step> script = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Step> earlySteps = new LinkedBlockingQueue<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     volatile int connectionCount;
 
@@ -50,6 +52,12 @@
         return this;
     }
 
+    /** Adds a step that handles the first request of a connection before its body is read, which it never is. */
+    ScriptedEndpoint early(Step step) {
+        earlySteps.add(step);
+        return this;
+    }
+
     /** Handles all further requests with one step. */
     void replaceScript(Step step) {
         script.clear();
@@ -101,6 +109,11 @@
 
     private void serve(Socket socket) {
         try {
+            Step early = earlySteps.poll();
+            if (early != null) {
+                early.respond(Objects.requireNonNull(RawMessage.readHead(socket.getInputStream())), socket);
+                return;
+            }
             for (RawMessage request = RawMessage.read(socket.getInputStream());
                     request != null;
                     request = RawMessage.read(socket.getInputStream())) {
