Report no regular end of an endpoint that a tunnel has not served fully

Callers of an instance that is cut off saw: a part of a response without a length, passed on as whole, after an upload of 4.1 MB of which the endpoint had read the head when it answered and closed its side.

Cause: the instance has written the request once the peer's operating system has taken it over, so that its own check of the write does not help. The peer passed on the regular end of the endpoint's side though bytes for the endpoint were still waiting.

Change: if the endpoint responded or ended its side while bytes for it were waiting, CarriedTunnel closes the tunnel without reporting a regular end. A response with a length or chunks does not need the report.

--- a/peer/src/main/java/org/fuchsiawharf/peer/CarriedTunnel.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/CarriedTunnel.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
@@ -23,7 +24,8 @@
  *
  * <p>Bytes are passed on unchanged and in order. Neither side is read while the other accepts no more bytes. The regular
  * end of the endpoint's side is passed on as a message; the connection to the peer is closed without this message if the
- * connection to the endpoint was reset. When the peer closes its connection, the connection to the endpoint is closed.
+ * connection to the endpoint was reset, or if the endpoint responded and closed its side before it could have received
+ * the whole request, since a body without a length is then not known to be complete. When the peer closes its connection, the connection to the endpoint is closed.
  * Confined to the I/O thread.
  */
 final class CarriedTunnel extends SimpleChannelInboundHandler<PeerProto.Frame> {
@@ -34,6 +36,9 @@
     private @Nullable Channel endpointChannel;
     private boolean admitted;
     private boolean ended;
+    /** Whether bytes of the endpoint arrived while bytes for it were waiting to be written. */
+    private boolean readBeforeWritten;
+
     private String outcome = "closed by the peer";
     private long bytes;
 
@@ -97,6 +102,11 @@
         }
     }
 
+    private static boolean hasUnwrittenBytes(Channel channel) {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null || buffer.totalPendingWriteBytes() > 0;
+    }
+
     // -----------------------------------------------------------------------
 
     @Override
@@ -137,6 +147,7 @@
     private final class EndpointSide extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
+            readBeforeWritten |= hasUnwrittenBytes(context.channel());
             try {
                 ByteBuf data = (ByteBuf) message;
                 bytes += data.readableBytes();
@@ -158,7 +169,13 @@
 
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            if (event instanceof ChannelInputShutdownEvent) {
+            if (!(event instanceof ChannelInputShutdownEvent)) {
+                return;
+            }
+            if (readBeforeWritten || hasUnwrittenBytes(context.channel())) {
+                outcome = "closed by the endpoint before the request was written";
+                context.close();
+            } else {
                 outcome = "closed by the endpoint";
                 peerChannel
                         .writeAndFlush(PeerProto.Frame.newBuilder()
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestCutOffFromEndpoints.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestCutOffFromEndpoints.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.fuchsiawharf.core.model.EndpointStatus;
+import org.fuchsiawharf.core.route.CallerLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +32,9 @@
     private static final int REQUESTS = 20;
     private static final int PENDING_CONNECTIONS = 3;
     private static final int STREAM_BYTES = 32 << 20;
+    /** More than the buffers of a connection hold whose receiver does not read, less than a frame of a tunnel. */
+    private static final int UPLOAD_BYTES = 4_100_000;
+
     private static final int PAUSE_MILLIS = 100;
     private static final int WAIT_SECONDS = 10;
     private static final ScriptedEndpoint.Step SERVE = (request, socket) -> {
@@ -181,6 +185,24 @@
         assertThat(response.body(), is("body without a length"));
     }
 
+    // The peer reported a regular end though it had not passed on the request.
+    @Test
+    void responseThatEndsBehindPeerBeforeRequestIsWrittenIsNotComplete() throws Exception {
+        cutOff.setLimits(new CallerLimits(8_192, UPLOAD_BYTES, 2_000, 5_000));
+        for (ScriptedEndpoint endpoint : endpoints) {
+            endpoint.early((request, socket) -> {
+                // By then the instance has written the request, which the peer cannot pass on.
+                Thread.sleep(5 * PAUSE_MILLIS);
+                write(socket, head(request, 200) + "\r\npart of a body without a length");
+                socket.shutdownOutput();
+            });
+        }
+        listUnreached(findRefusingPorts());
+        String body = "x".repeat(UPLOAD_BYTES);
+        RawMessage response = cutOff.exchange(RelayFixture.request("POST", "/post/", "r1", "", body));
+        assertThat(response.status(), is(502));
+    }
+
     @Test
     void responseWhosePeerIsLostIsNotComplete() throws Exception {
         useSteps((request, socket) -> {
