Fail calls of the product's client whose response ends before the request

Cause: HttpCall took the end of the connection for the end of a response without a length also while the request was being written. Besides, a request counted as written before it was flushed, so that its connection could be reused too early.

Change: such a response fails the call, which may have run, if its head arrived before the request was flushed. Responses with a length or chunks count as before.

TestCutResponses.responseWithoutFramingIsNotCompleteIfItEndsBeforeRequestIs- Written failed before (status 200); earlyResponseWithFramingIsComplete is a guard.

--- a/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
+++ b/http/src/main/java/org/fuchsiawharf/http/client/HttpCall.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
+import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
@@ -13,6 +14,7 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
 import org.jspecify.annotations.Nullable;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -25,7 +27,9 @@
  *
  * <p>The handler is notified exactly once of either the end or a failure, unless the call is cancelled. A response that
  * arrives faster than it is handled does not block the thread's other calls. A status below 200 or above 599 is no
- * response: the call fails. Confined to its I/O thread, except for {@link #cancel}, which is thread-safe.
+ * response: the call fails. So does a call whose response ends with its connection, if it began before the request was
+ * written: a server that ends its side then may have given up. Confined to its I/O thread, except for {@link #cancel},
+ * which is thread-safe.
  */
 public final class HttpCall {
     // Bytes that a call may handle before the thread's other calls are served: a few milliseconds of parsing.
@@ -37,6 +41,7 @@
     private static final int MIN_STATUS = 200;
 
     private static final int MAX_STATUS = 599;
+    private static final Set<Integer> BODILESS_STATUSES = Set.of(StatusCodes.NO_CONTENT, StatusCodes.NOT_MODIFIED);
 
     private final HttpClient client;
     private final HttpTarget target;
@@ -48,6 +53,9 @@
     private @Nullable ClientConnection connection;
     private boolean possiblySent;
     private boolean requestWritten;
+    /** Whether the response ends with its connection and began before the request was written. */
+    private boolean endUnknown;
+
     private boolean reading;
     private boolean readDelayed;
     private boolean connectionClosed;
@@ -129,20 +137,23 @@
                 }
             }
             channel.shutdownWrites();
-            requestWritten = true;
             if (!channel.flush()) {
                 channel.getWriteSetter()
-                        .set(ChannelListeners.flushingChannelListener(
-                                StreamSinkChannel::suspendWrites, (c, e) -> fail(e)));
+                        .set(ChannelListeners.flushingChannelListener(this::onWritten, (c, e) -> fail(e)));
                 channel.resumeWrites();
             } else {
-                channel.suspendWrites();
+                onWritten(channel);
             }
         } catch (IOException e) {
             fail(e);
         }
     }
 
+    private void onWritten(StreamSinkChannel channel) {
+        requestWritten = true;
+        channel.suspendWrites();
+    }
+
     private void readHead(ClientExchange exchange) {
         if (ended) {
             return;
@@ -153,6 +164,8 @@
             return;
         }
         HeaderMap fields = exchange.getResponse().getResponseHeaders();
+        boolean framed = fields.contains(Headers.CONTENT_LENGTH) || fields.contains(Headers.TRANSFER_ENCODING);
+        endUnknown = !requestWritten && !framed && !BODILESS_STATUSES.contains(status);
         handler.onHead(status, fields);
         StreamSourceChannel channel = exchange.getResponseChannel();
         channel.getReadSetter().set(c -> readBody(channel));
@@ -191,7 +204,7 @@
                 buffer.clear();
                 int bytesRead = channel.read(buffer);
                 if (bytesRead < 0) {
-                    complete();
+                    end();
                     return;
                 }
                 if (bytesRead == 0) {
@@ -225,6 +238,14 @@
         }
     }
 
+    private void end() {
+        if (endUnknown) {
+            fail(new IOException("the response ended with its connection and began before the request was written"));
+        } else {
+            complete();
+        }
+    }
+
     private void complete() {
         ended = true;
         ClientConnection usedConnection = connection;
--- a/http/src/test/java/org/fuchsiawharf/http/client/TestCutResponses.java
+++ b/http/src/test/java/org/fuchsiawharf/http/client/TestCutResponses.java
@@ -35,6 +35,9 @@
     private static final String WITHOUT_TRAILER = CHUNKS + "\r\n";
     private static final String WITH_TRAILER = CHUNKS + "Checksum: 7\r\n\r\n";
 
+    /** More than the buffers of the connection hold. */
+    private static final byte[] LARGE_BODY = new byte[8 << 20];
+
     private ServerSocket server;
     private HttpClient client;
 
@@ -98,6 +101,19 @@
         assertThat(getStatus(new byte[0], responses, Socket::close), is(200));
     }
 
+    // The part that had arrived when the server closed its side was passed on as complete.
+    @Test
+    void responseWithoutFramingIsNotCompleteIfItEndsBeforeRequestIsWritten() throws Exception {
+        assertThat(getStatus(LARGE_BODY, WITHOUT_FRAMING + "{}", Socket::shutdownOutput), is(FAILED));
+        assertThat(getStatus(LARGE_BODY, WITHOUT_FRAMING + "{}", Socket::close), is(FAILED));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {WITH_LENGTH, WITHOUT_TRAILER, WITH_TRAILER})
+    void earlyResponseWithFramingIsComplete(String response) throws Exception {
+        assertThat(getStatus(LARGE_BODY, response, Socket::shutdownOutput), is(200));
+    }
+
     // -----------------------------------------------------------------------
 
     private List<String> findCompletedCuts(String response, int maxBytes, boolean reset) throws Exception {
