Await the reset that follows the end of a response to an unread request

Callers saw: as before, 12 bytes as a whole response after an upload, if the operating system had taken over the request before the response began.

Cause: an endpoint that closes with a part of the request unread sends the regular end of its side and a reset right after it. The end completed the response at once, and a side that has ended is not read again, so that the reset was not seen.

Change: a response to a request with a body that ends with its connection is completed 20 ms later, after an empty line has been written. The write fails if the reset has arrived. Responses with a length or chunks, and those to requests without a body, are not delayed. Events of a stream are forwarded at once as before; only its end is delayed.

--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -1,9 +1,12 @@
 package org.fuchsiawharf.relay.client;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,6 +15,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -36,7 +40,8 @@
  * call, after a response that closes the connection, or after a response that arrived before the request was completely
  * written. A body without a length is complete only if the server has closed its side in order: a reset may be met by a
  * write, which reports no failed read. It is incomplete also if the response began before the request was completely
- * written: a server that ends its side then may have given up. A call fails as garbage if too many bytes arrive that are neither the head nor the
+ * written: a server that ends its side then may have given up. If the request has a body, a reset that follows the end
+ * is awaited for a short time. A call fails as garbage if too many bytes arrive that are neither the head nor the
  * body of its response, or if the response exceeds the maximum size of the call. Confined to the I/O thread.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
@@ -50,6 +55,11 @@
     /** Maximum size of the bodies of responses to earlier requests that one call skips. */
     private static final int MAX_SKIPPED_BYTES = 1 << 20;
 
+    /** Time after the end of the server's side within which its reset arrives: a few round trips. */
+    private static final long RESET_WAIT_MILLIS = 20;
+
+    private static final String EMPTY_LINE = "\r\n";
+
     /** Number of calls without success after which the connection is not reused. */
     private static final int MAX_REFUSED_IDS = 32;
 
@@ -68,6 +78,10 @@
     /** Whether the whole request had been passed to the operating system when the head of the response arrived. */
     private boolean writtenBeforeResponse;
 
+    private boolean requestHasBody;
+    /** Whether the response has ended with its connection, and a reset that may follow is awaited. */
+    private boolean awaitingReset;
+
     /** Number of bytes received on the connection when a response head or body data was last decoded. */
     private long receivedBytesAtProgress;
 
@@ -101,6 +115,7 @@
         maxIdleConnections = httpCall.maxIdleConnections();
         channel.write(httpCall.head()).addListener(this::onWritten);
         ByteBuf body = httpCall.body();
+        requestHasBody = body.isReadable();
         LastHttpContent last =
                 body.isReadable() ? new DefaultLastHttpContent(body) : LastHttpContent.EMPTY_LAST_CONTENT;
         if (!body.isReadable()) {
@@ -267,14 +282,46 @@
             fail(CallFailure.LOST, "the connection was reset within the body");
         } else if (last && decoder.isInputEnded() && !writtenBeforeResponse) {
             fail(CallFailure.LOST, "the response ended with its connection and began before the request was written");
+        } else if (last && decoder.isInputEnded() && requestHasBody) {
+            awaitReset(openCall);
         } else if (last) {
-            responseComplete = true;
             // The connection returns to the pool in channelReadComplete, so that bytes after the response are detected
             // first.
-            if (openCall.markEnded()) {
-                openCall.getListener().onComplete();
-            }
+            complete(openCall);
+        }
+    }
+
+    private void complete(OpenCall openCall) {
+        responseComplete = true;
+        if (openCall.markEnded()) {
+            openCall.getListener().onComplete();
+        }
+    }
+
+    // A side that has ended is not read again, so that only a write meets the reset of a server that has left a part of
+    // the request unread. No further response can follow, and an empty line after a request is ignored.
+    private void awaitReset(OpenCall openCall) {
+        awaitingReset = true;
+        ChannelHandlerContext encoder = channel.pipeline().context(HttpRequestEncoder.class);
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            if (!openCall.isEnded()) {
+                                encoder.writeAndFlush(Unpooled.copiedBuffer(EMPTY_LINE, StandardCharsets.US_ASCII))
+                                        .addListener(write -> endAfterReset(openCall, write));
+                            }
+                        },
+                        RESET_WAIT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void endAfterReset(OpenCall openCall, Future<?> write) {
+        if (write.isSuccess()) {
+            complete(openCall);
+        } else {
+            fail(CallFailure.LOST, "the connection was reset after its end: " + write.cause());
         }
+        close();
     }
 
     @Override
@@ -286,7 +333,7 @@
             }
             checkReceivedBytes();
         }
-        if (event instanceof ChannelInputShutdownEvent) {
+        if (event instanceof ChannelInputShutdownEvent && !awaitingReset) {
             close();
         }
         context.fireUserEventTriggered(event);
--- a/relay/src/test/java/org/fuchsiawharf/relay/client/TestResponseEnd.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/client/TestResponseEnd.java
@@ -126,6 +126,7 @@
     void regularEndOfConnectionCompletesResponse() throws Exception {
         assertThat(exchange(10, Socket::close), is("complete"));
         assertThat(exchange(10, Socket::shutdownOutput), is("complete"));
+        assertThat(exchange(0, Socket::close), is("complete"));
     }
 
     // The part that had arrived when the server closed its side was passed on as complete.
@@ -135,6 +136,16 @@
         assertThat(exchange(LARGE_BODY_BYTES, Socket::shutdownOutput), is("LOST"));
     }
 
+    // The operating system had taken over the request; the reset that follows the end of the server's side was not
+    // seen.
+    @ParameterizedTest
+    @ValueSource(ints = {100_000, 1 << 20, 3 << 20})
+    void closeBeforeRequestIsReadLeavesResponseIncomplete(int requestBytes) throws Exception {
+        for (int i = 0; i < RESETS; i++) {
+            assertThat(exchange(requestBytes, Socket::close), is("LOST"));
+        }
+    }
+
     // Reading the rest of the request completes its write, but says nothing about the end of the response.
     @Test
     void requestThatIsWrittenDuringResponseLeavesItsEndUnknown() throws Exception {
