Await the reset of an endpoint before a tunnel reports its regular end

Callers of an instance that is cut off saw: a part of a response without a length, passed on as whole, after an upload of 1 MB of which the endpoint had read the head when it closed.

Cause: the peer reported the end of the endpoint's side at once. The reset that follows it is seen at the peer only, and only by a write.

Change: CarriedTunnel reports the end 20 ms later, after an empty line has been written to the endpoint, and closes the tunnel without the report if the write fails.

TestCutOffFromEndpoints.responseThatIsResetAfterItsEndBehindPeerIsNotComplete failed before (200).

--- a/peer/src/main/java/org/fuchsiawharf/peer/CarriedTunnel.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/CarriedTunnel.java
@@ -1,5 +1,8 @@
 package org.fuchsiawharf.peer;
 
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
 import com.google.protobuf.ByteString;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -25,10 +28,16 @@
  * <p>Bytes are passed on unchanged and in order. Neither side is read while the other accepts no more bytes. The regular
  * end of the endpoint's side is passed on as a message; the connection to the peer is closed without this message if the
  * connection to the endpoint was reset, or if the endpoint responded and closed its side before it could have received
- * the whole request, since a body without a length is then not known to be complete. When the peer closes its connection, the connection to the endpoint is closed.
+ * the whole request, since a body without a length is then not known to be complete. A reset that follows the end of the
+ * endpoint's side is awaited for a short time. When the peer closes its connection, the connection to the endpoint is closed.
  * Confined to the I/O thread.
  */
 final class CarriedTunnel extends SimpleChannelInboundHandler<PeerProto.Frame> {
+    /** Time after the end of the endpoint's side within which its reset arrives: a few round trips. */
+    private static final long RESET_WAIT_MILLIS = 20;
+
+    private static final String EMPTY_LINE = "\r\n";
+
     private final TunnelRequest request;
     private final TunnelAcceptor acceptor;
     private final Bootstrap bootstrap;
@@ -177,14 +186,32 @@
                 context.close();
             } else {
                 outcome = "closed by the endpoint";
-                peerChannel
-                        .writeAndFlush(PeerProto.Frame.newBuilder()
-                                .setTunnelEnd(PeerProto.TunnelEnd.getDefaultInstance())
-                                .build())
-                        .addListener(ChannelFutureListener.CLOSE);
+                context.executor().schedule(() -> checkForReset(context), RESET_WAIT_MILLIS, TimeUnit.MILLISECONDS);
             }
         }
 
+        // A side that has ended is not read again, so that only a write meets the reset of an endpoint that has left a
+        // part of the request unread. No further response can follow, and an empty line after a request is ignored.
+        private void checkForReset(ChannelHandlerContext context) {
+            context.writeAndFlush(Unpooled.copiedBuffer(EMPTY_LINE, StandardCharsets.US_ASCII))
+                    .addListener(write -> {
+                        if (write.isSuccess()) {
+                            reportEnd();
+                        } else {
+                            outcome = "reset after the end of the endpoint's side";
+                            context.close();
+                        }
+                    });
+        }
+
+        private void reportEnd() {
+            peerChannel
+                    .writeAndFlush(PeerProto.Frame.newBuilder()
+                            .setTunnelEnd(PeerProto.TunnelEnd.getDefaultInstance())
+                            .build())
+                    .addListener(ChannelFutureListener.CLOSE);
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             outcome = String.valueOf(cause.getMessage());
--- a/relay/src/test/java/org/fuchsiawharf/relay/TestCutOffFromEndpoints.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/TestCutOffFromEndpoints.java
@@ -185,21 +185,31 @@
         assertThat(response.body(), is("body without a length"));
     }
 
-    // The peer reported a regular end though it had not passed on the request.
-    @Test
-    void responseThatEndsBehindPeerBeforeRequestIsWrittenIsNotComplete() throws Exception {
+    private RawMessage uploadToEarlyEndpoint(int requestBytes, ScriptedEndpoint.Step ending) throws Exception {
         cutOff.setLimits(new CallerLimits(8_192, UPLOAD_BYTES, 2_000, 5_000));
         for (ScriptedEndpoint endpoint : endpoints) {
             endpoint.early((request, socket) -> {
-                // By then the instance has written the request, which the peer cannot pass on.
+                // By then the instance has written the request, and the peer as much of it as it can.
                 Thread.sleep(5 * PAUSE_MILLIS);
                 write(socket, head(request, 200) + "\r\npart of a body without a length");
-                socket.shutdownOutput();
+                ending.respond(request, socket);
             });
         }
         listUnreached(findRefusingPorts());
-        String body = "x".repeat(UPLOAD_BYTES);
-        RawMessage response = cutOff.exchange(RelayFixture.request("POST", "/post/", "r1", "", body));
+        return cutOff.exchange(RelayFixture.request("POST", "/post/", "r1", "", "x".repeat(requestBytes)));
+    }
+
+    // The peer reported a regular end though it had not passed on the request.
+    @Test
+    void responseThatEndsBehindPeerBeforeRequestIsWrittenIsNotComplete() throws Exception {
+        RawMessage response = uploadToEarlyEndpoint(UPLOAD_BYTES, (request, socket) -> socket.shutdownOutput());
+        assertThat(response.status(), is(502));
+    }
+
+    // The peer reported a regular end at once, and did not see the reset that followed it.
+    @Test
+    void responseThatIsResetAfterItsEndBehindPeerIsNotComplete() throws Exception {
+        RawMessage response = uploadToEarlyEndpoint(UPLOAD_BYTES / 4, (request, socket) -> socket.close());
         assertThat(response.status(), is(502));
     }
 
