Divide a large body into messages of a tunnel

Cause: the body of a request was one message, which with its framing exceeds the maximum size of a frame (4 MiB) at the largest body that callers may send. The request failed with 502 through a tunnel.

Change: TunnelHandler sends 256 KiB in a message at most. TestTunnelHandler failed before.

--- a/peer/src/main/java/org/fuchsiawharf/peer/TunnelHandler.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/TunnelHandler.java
@@ -28,6 +28,9 @@
     /** Longer than the time that a peer takes to find that an endpoint does not answer. */
     private static final long DECISION_TIMEOUT_MILLIS = 300;
 
+    /** Largest part of the data that one message carries; a frame has a maximum size. */
+    private static final int MAX_MESSAGE_BYTES = 256 << 10;
+
     private final TunnelRequest request;
     private final Listener listener;
     private @Nullable ChannelHandlerContext channelContext;
@@ -108,6 +111,9 @@
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         if (message instanceof ByteBuf bytes) {
             try {
+                while (bytes.readableBytes() > MAX_MESSAGE_BYTES) {
+                    context.write(TunnelCodec.encode(bytes.readSlice(MAX_MESSAGE_BYTES)));
+                }
                 context.write(TunnelCodec.encode(bytes), promise);
             } finally {
                 bytes.release();
