Let a caller's exchange have two endpoint calls at a time

Cause: the exchange held one call for back pressure and for the cancellation after a failed decision. A second call of the same request replaced the first one, and the end of either removed both, so that a call could stay paused for good or outlive its request.

Change: the exchange holds the calls in flight, and each call removes itself at its end, also after a complete response. Requests with one call behave as before, except that the ended call is no longer held until the exchange ends.

--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/HttpCallerExchange.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/HttpCallerExchange.java
@@ -1,6 +1,8 @@
 package org.fuchsiawharf.relay.edge;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -33,7 +35,8 @@
     private final ByteBuf body;
     private final StreamRelay stream;
     private final AtomicBoolean released = new AtomicBoolean();
-    private @Nullable OpenCall endpointCall;
+    /** The calls in flight, at most two; used on the I/O thread. */
+    private final List<OpenCall> endpointCalls = new ArrayList<>(1);
 
     HttpCallerExchange(CallerConnection connection, CallerServer server, HttpRequest head, ByteBuf body) {
         this.connection = connection;
@@ -79,16 +82,18 @@
         return stream;
     }
 
-    /** Sets the endpoint call that is paused while the caller's connection is not writable. */
-    void setEndpointCall(@Nullable OpenCall call) {
-        endpointCall = call;
+    /** Adds an endpoint call, which is paused while the caller's connection is not writable. */
+    void addEndpointCall(OpenCall call) {
+        endpointCalls.add(call);
+    }
+
+    /** Removes an endpoint call that has ended; the call of a hedge may go on. */
+    void removeEndpointCall(OpenCall call) {
+        endpointCalls.remove(call);
     }
 
     void onWritable(boolean writable) {
-        OpenCall call = endpointCall;
-        if (call != null) {
-            call.setReading(writable);
-        }
+        endpointCalls.forEach(call -> call.setReading(writable));
     }
 
     void onCallerLeft() {
@@ -108,12 +113,7 @@
     private void fail(Throwable cause) {
         refuse(new Refusal(Refusal.Kind.LOST, ErrorCode.INTERNAL, "the request's processing failed", 0));
         server.onRequestFailed(getRequestId(), cause);
-        server.executeOnIoThread(() -> {
-            OpenCall call = endpointCall;
-            if (call != null) {
-                call.cancel();
-            }
-        });
+        server.executeOnIoThread(() -> List.copyOf(endpointCalls).forEach(OpenCall::cancel));
         server.onCallerLeft(this);
     }
 
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/RelayedCall.java
@@ -78,7 +78,9 @@
         } else if (!ended) {
             OpenCall call = calls.getClient().send(calls.buildRequest(exchange, endpoint, terms), this);
             clientCall = call;
-            exchange.setEndpointCall(call);
+            if (!ended) {
+                exchange.addEndpointCall(call);
+            }
         }
     }
 
@@ -200,6 +202,7 @@
             return;
         }
         uncountBufferedBytes();
+        removeEndpointCall();
         HttpHeaders head = responseHead;
         EventParser parser = eventParser;
         BodyCollector body = bufferedBody;
@@ -278,6 +281,13 @@
         }
     }
 
+    private void removeEndpointCall() {
+        OpenCall call = clientCall;
+        if (call != null) {
+            exchange.removeEndpointCall(call);
+        }
+    }
+
     private void uncountBufferedBytes() {
         calls.addBufferedBytes(-bufferedBytes);
         bufferedBytes = 0;
@@ -294,7 +304,7 @@
         if (body != null) {
             body.release();
         }
-        exchange.setEndpointCall(null);
+        removeEndpointCall();
     }
 
     private void reportLoad(@Nullable String value) {
