--- a/core/src/main/java/org/fuchsiawharf/core/retry/ExtraCallBudget.java
+++ b/core/src/main/java/org/fuchsiawharf/core/retry/ExtraCallBudget.java
@@ -22,6 +22,29 @@
         this.balance = maxBalance;
     }
 
+    /**
+     * Creates an empty budget, whose extra calls never exceed the share of the first calls.
+     *
+     * @param extraCallsPerFirstCall the number of extra calls that one first call adds to the balance
+     * @param maxBalance the maximum balance, in extra calls
+     * @return the budget, never null
+     */
+    static ExtraCallBudget empty(double extraCallsPerFirstCall, double maxBalance) {
+        ExtraCallBudget budget = new ExtraCallBudget(extraCallsPerFirstCall, maxBalance);
+        budget.balance = 0;
+        return budget;
+    }
+
+    /** Gets the number of extra calls that can be deducted now, with fractions. */
+    double getBalance() {
+        return balance;
+    }
+
+    /** Checks whether the balance suffices for one extra call. */
+    boolean canSpend() {
+        return balance >= 1;
+    }
+
     /** Adds the extra calls of one first call to the balance. */
     public void earn() {
         balance = Math.min(maxBalance, balance + extraCallsPerFirstCall);
@@ -33,7 +56,7 @@
      * @return false if the balance is too low
      */
     public boolean trySpend() {
-        if (balance < 1) {
+        if (!canSpend()) {
             return false;
         }
         balance -= 1;
--- a/core/src/main/java/org/fuchsiawharf/core/retry/SharedRetryBudget.java
+++ b/core/src/main/java/org/fuchsiawharf/core/retry/SharedRetryBudget.java
@@ -29,6 +29,7 @@
     private final Map<String, Window> requests = new HashMap<>();
     private final Map<String, Window> retries = new HashMap<>();
     private final Window instanceCounts = new Window();
+    private int largestInstanceCount = 1;
 
     /**
      * Creates a budget.
@@ -53,6 +54,7 @@
      * @param service the called service, not null
      */
     public void onRequest(String service) {
+        largestInstanceCount = Math.max(largestInstanceCount, instanceCount.getAsInt());
         requests.computeIfAbsent(service, s -> new Window()).add(clock.nanos(), 1);
     }
 
@@ -70,6 +72,19 @@
         return true;
     }
 
+    /**
+     * Deducts one retry if at least half of the budget remains; for extra calls that give way to retries. The part of the
+     * allowance is that among the largest number of instances known since the start, so that instances that do not hear
+     * each other do not use more than their equal parts.
+     *
+     * @param service the called service, not null
+     * @return false if less than half of the budget would remain
+     */
+    public boolean trySpendOfFirstHalf(String service) {
+        largestInstanceCount = Math.max(largestInstanceCount, instanceCount.getAsInt());
+        return isWithin(service, largestInstanceCount, USABLE_SHARE / 2, clock.nanos()) && trySpend(service);
+    }
+
     /**
      * Checks whether the budget allows one more retry.
      *
@@ -79,10 +94,14 @@
     public boolean canSpend(String service) {
         long now = clock.nanos();
         instanceCounts.add(now, Math.max(1, instanceCount.getAsInt()));
+        return isWithin(service, instanceCounts.max(now), USABLE_SHARE, now);
+    }
+
+    private boolean isWithin(String service, long instances, double usableShare, long now) {
         double earned =
                 ratio * requests.computeIfAbsent(service, s -> new Window()).sum(now);
         Window used = retries.computeIfAbsent(service, s -> new Window());
-        return used.sum(now) + 1 <= USABLE_SHARE * (earned + allowance / instanceCounts.max(now));
+        return used.sum(now) + 1 <= usableShare * (earned + allowance / instances);
     }
 
     /** A sliding window of amounts, merged into buckets of a tenth of the window to bound its size. */
