Hedge slow idempotent requests at another endpoint

Cause: a request waited for a slow endpoint until the silence check gave its call up, 200 to 400 ms after it was sent.

Change: RequestAttempts, split from RelayTask, runs the attempts of a request and at most one hedge beside the first. HedgeCheck decides on it: attempts, time left, suspicion, free slots of the service and of the other endpoint, its health, limits and brittleness, and the budgets. The first complete response is relayed and the other call cancelled. An attempt that fails, is rejected or brings an error while the other runs is dropped without a retry. A cancelled slow first attempt counts in the estimate of its endpoint. The settings hedge.share and hedge.fleet_share are 0 by default, which schedules nothing and draws no random numbers. Log request.hedged and request.not_hedged; counters hedges, hedges_denied and hedge_extra_seconds.

--- a/core/src/main/java/org/fuchsiawharf/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/fuchsiawharf/core/quarantine/CrashQuarantine.java
@@ -136,13 +136,17 @@
      * @return the suspect, null if none is quarantined
      */
     public @Nullable Suspect getQuarantined(List<Suspect> suspects) {
-        for (Suspect suspect : suspects) {
-            Suspicion suspicion = suspicions.get(suspect);
-            if (suspicion != null && suspicion.isQuarantined()) {
-                return suspect;
-            }
-        }
-        return null;
+        return suspicions.findQuarantined(suspects);
+    }
+
+    /**
+     * Checks whether a call was lost under any of the suspects, quarantined or not.
+     *
+     * @param suspects what a request shares with others, not null
+     * @return true if one of them is suspected of crashing endpoints
+     */
+    public boolean isSuspected(List<Suspect> suspects) {
+        return suspicions.containsAny(suspects);
     }
 
     /**
--- a/core/src/main/java/org/fuchsiawharf/core/quarantine/Suspicions.java
+++ b/core/src/main/java/org/fuchsiawharf/core/quarantine/Suspicions.java
@@ -1,6 +1,7 @@
 package org.fuchsiawharf.core.quarantine;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
 
@@ -25,6 +26,22 @@
         return bySuspect.get(suspect);
     }
 
+    /** Finds the first of some suspects that is quarantined; null if none is. */
+    @Nullable
+    Suspect findQuarantined(List<Suspect> suspects) {
+        for (Suspect suspect : suspects) {
+            Suspicion suspicion = bySuspect.get(suspect);
+            if (suspicion != null && suspicion.isQuarantined()) {
+                return suspect;
+            }
+        }
+        return null;
+    }
+
+    boolean containsAny(List<Suspect> suspects) {
+        return suspects.stream().anyMatch(bySuspect::containsKey);
+    }
+
     Suspicion getOrCreate(Suspect suspect) {
         if (!bySuspect.containsKey(suspect) && bySuspect.size() >= MAX_SUSPICIONS) {
             evict();
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -21,7 +21,7 @@
     static final int FIRST_FAILURE_STATUS = 500;
 
     /** The HTTP statuses that promise that a request has not run and never will. */
-    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+    static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
     /** Multiple of the service's mean response time after which a repeatable call is sent to another endpoint. */
     private static final double SLOW_FACTOR = 6;
@@ -64,10 +64,10 @@
         void onStreamCompleted();
 
         /** Called when a complete response that is not a stream has arrived. */
-        void onResponse(EndpointResponse response, EndpointState endpoint, long elapsedNanos);
+        void onResponse(EndpointAttempt attempt, EndpointResponse response);
 
         /** Called when the attempt has ended without a complete response. */
-        void onFailure(CallFailure failure, EndpointState endpoint);
+        void onFailure(EndpointAttempt attempt, CallFailure failure);
     }
 
     EndpointAttempt(RelayContext context, RoutedRequest routedRequest, EndpointState endpoint, Callbacks callbacks) {
@@ -80,9 +80,13 @@
         this.startNanos = timers.now();
     }
 
-    /** Gets the version of the endpoint's software. */
-    String getVersion() {
-        return endpoint.getVersion();
+    EndpointState getEndpoint() {
+        return endpoint;
+    }
+
+    /** Gets the time since the attempt began, in nanoseconds. */
+    long getElapsedNanos() {
+        return timers.now() - startNanos;
     }
 
     void begin(EndpointCalls.Terms terms) {
@@ -106,6 +110,33 @@
         }
     }
 
+    /**
+     * Cancels the attempt because its hedge was answered first. Its elapsed time is a lower bound of its duration; without
+     * this sample, the estimate of an endpoint that loses to hedges would omit its slow calls. A call that is silent as
+     * long as a failed one shows no health.
+     */
+    void cancelSlow() {
+        EndpointCalls.Call currentCall = call;
+        boolean silent = currentCall == null || isSilent(currentCall);
+        cancel();
+        if (getElapsedNanos() > endpoint.getServiceTime().getMean()) {
+            endpoint.onCompleted(getElapsedNanos());
+            if (!silent && context.health().onSuccess(pool, endpoint, false, timers.now())) {
+                context.log()
+                        .write(
+                                "endpoint.ejected",
+                                "endpoint",
+                                endpoint.getEndpoint().name(),
+                                "after",
+                                "slow");
+            }
+        }
+    }
+
+    private boolean isSilent(EndpointCalls.Call currentCall) {
+        return timers.now() - currentCall.getLastReceivedNanos() > silenceBound();
+    }
+
     private void finish(String result) {
         ended = true;
         endpoint.onEnded();
@@ -116,17 +147,13 @@
             silenceTimer.cancel();
         }
         callbacks.recordResult(
-                endpoint.getEndpoint().name() + ":" + result + ":" + elapsedNanos() / NANOS_PER_MILLI + "ms");
+                endpoint.getEndpoint().name() + ":" + result + ":" + getElapsedNanos() / NANOS_PER_MILLI + "ms");
     }
 
     private boolean isSound() {
         return firstEventForwarded && timers.now() - firstEventNanos > CrashQuarantine.SOUND_STREAM_NANOS;
     }
 
-    private long elapsedNanos() {
-        return timers.now() - startNanos;
-    }
-
     // -----------------------------------------------------------------------
 
     private void checkSilence() {
@@ -134,8 +161,7 @@
         if (ended || currentCall == null) {
             return;
         }
-        boolean silent = timers.now() - currentCall.getLastReceivedNanos() > silenceBound();
-        if (silent
+        if (isSilent(currentCall)
                 && callbacks.mayTryAnotherEndpoint()
                 && isAnotherEndpointUsable()
                 && context.budget().canSpend(pool.getService())) {
@@ -172,7 +198,7 @@
             firstEventForwarded = true;
             firstEventNanos = timers.now();
             RequestDecisionLog.writeStreamBegun(context.log(), routedRequest, endpoint);
-            callbacks.onFirstEvent(elapsedNanos());
+            callbacks.onFirstEvent(getElapsedNanos());
         }
     }
 
@@ -203,10 +229,10 @@
             context.health().onFailure(pool, endpoint, CallFailure.ERROR, timers.now());
         } else {
             onAnswered();
-            pool.getServiceTime().add(endpoint.onCompleted(elapsedNanos()));
+            pool.getServiceTime().add(endpoint.onCompleted(getElapsedNanos()));
             context.health().onSuccess(pool, endpoint, false, timers.now());
         }
-        callbacks.onResponse(response, endpoint, elapsedNanos());
+        callbacks.onResponse(this, response);
     }
 
     private void onAnswered() {
@@ -245,7 +271,7 @@
                         "version",
                         endpoint.getVersion(),
                         "took_ms",
-                        elapsedNanos() / NANOS_PER_MILLI,
+                        getElapsedNanos() / NANOS_PER_MILLI,
                         "endpoint_in_flight",
                         endpoint.getInFlight(),
                         "parts",
@@ -262,6 +288,6 @@
                 && context.health().onFailure(pool, endpoint, failure, timers.now())) {
             context.log().write("endpoint.ejected", "endpoint", name, "after", failure.getWireName());
         }
-        callbacks.onFailure(failure, endpoint);
+        callbacks.onFailure(this, failure);
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
@@ -63,6 +63,28 @@
                 .orElse(avoided != null && avoided.acceptsRequest(now) && avoided.hasRoom() ? avoided : null);
     }
 
+    /**
+     * Selects the endpoint of a hedge.
+     *
+     * @param first the endpoint of the call that is hedged
+     * @return another endpoint, null if the selector has none
+     */
+    @Nullable
+    EndpointState selectOther(EndpointState first) {
+        EndpointState selected = context.selector()
+                .select(getPool(), prefixKey, first, context.timers().now());
+        return selected == first ? null : selected;
+    }
+
+    /** Checks whether each usable endpoint runs or queues as many calls as it has slots, by its last report and own calls. */
+    boolean isServiceFull() {
+        return getPool().getEndpoints().stream().filter(EndpointState::isUsable).allMatch(EndpointChoice::isFull);
+    }
+
+    static boolean isFull(EndpointState endpoint) {
+        return Math.max(endpoint.getReportedCalls(), endpoint.getInFlight()) >= endpoint.getSlots();
+    }
+
     /**
      * Gets the time from which the request limit of an endpoint permits a request, the current time if the request waits
      * for room at a brittle endpoint; the maximum if there is neither.
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayContext.java
@@ -10,6 +10,7 @@
 import org.fuchsiawharf.core.log.Meters;
 import org.fuchsiawharf.core.pieces.StagePools;
 import org.fuchsiawharf.core.quarantine.CrashQuarantine;
+import org.fuchsiawharf.core.retry.Hedging;
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.routing.EndpointSelector;
 import org.fuchsiawharf.core.routing.EndpointTable;
@@ -27,6 +28,7 @@
  * @param pools process the pieces of stages
  * @param calls sends requests to endpoints
  * @param budget limits retries
+ * @param hedging limits and delays hedges
  * @param idleConnections limits the idle connections to endpoints
  * @param requestShares divides the request limits of endpoints among the instances
  * @param brittleShares divides the room at brittle endpoints among the instances
@@ -45,6 +47,7 @@
         StagePools pools,
         EndpointCalls calls,
         SharedRetryBudget budget,
+        Hedging hedging,
         IdleConnectionLimits idleConnections,
         RequestShares requestShares,
         BrittleShares brittleShares,
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayTask.java
@@ -1,6 +1,5 @@
 package org.fuchsiawharf.core.relay;
 
-import java.util.ArrayList;
 import java.util.List;
 
 import org.fuchsiawharf.core.error.ErrorCode;
@@ -21,9 +20,7 @@
  * non-idempotent request is sent again only if no earlier attempt can have taken effect. Confined to the decision
  * loop.
  */
-final class RelayTask implements EndpointAttempt.Callbacks, StageRun.Callbacks {
-    /** Maximum number of attempts of a request, including those that endpoints rejected. */
-    private static final int MAX_ATTEMPTS = 5;
+final class RelayTask implements RequestAttempts.Callbacks, StageRun.Callbacks {
     /** Delay before a request is sent to another endpoint after a failed attempt; one round trip. */
     private static final long RETRY_DELAY_NANOS = 5_000_000L;
     /** Subtracted from the caller's deadline, so that a refusal reaches the caller in time. */
@@ -48,16 +45,13 @@
     private final String service;
     private final EndpointChoice choice;
     private final Timer deadlineTimer;
-    private final List<String> attemptResults = new ArrayList<>();
+    private final RequestAttempts attempts;
     private @Nullable StageRun stageRun;
     private @Nullable List<String> inputs;
-    private @Nullable EndpointAttempt currentAttempt;
     private @Nullable EndpointState avoidedEndpoint;
     private boolean resultsReleased;
     private double estimatedMillis;
     private long stagesNanos;
-    private int attempts;
-    private int attemptsWithPossibleEffect;
     private boolean streamStarted;
     private boolean served;
     private boolean ended;
@@ -92,6 +86,7 @@
         if (origin != null) {
             choice.restrictTo(origin.version());
         }
+        this.attempts = new RequestAttempts(context, routedRequest, service, rank, deadlineNanos, choice, this);
         this.deadlineTimer = timers.schedule(deadlineNanos, this::onDeadline);
     }
 
@@ -218,13 +213,7 @@
             return;
         }
         choice.release();
-        attempts++;
-        attemptsWithPossibleEffect++;
-        EndpointAttempt attempt = new EndpointAttempt(context, routedRequest, endpoint, this);
-        currentAttempt = attempt;
-        long remainingMillis = remainingNanos / NANOS_PER_MILLI;
-        int maxIdle = context.idleConnections().getLimit(service);
-        attempt.begin(routedRequest.createTerms(remainingMillis, rank, inputs, endpoint.getVersion(), maxIdle));
+        attempts.begin(endpoint, inputs);
     }
 
     private void sendUnlessEnded() {
@@ -240,8 +229,8 @@
             return;
         }
         avoidedEndpoint = failedEndpoint;
-        boolean retryAllowed = !failure.mayHaveRun() || mayTryAnotherEndpoint();
-        if (!retryAllowed || attempts >= MAX_ATTEMPTS) {
+        boolean retryAllowed = !failure.mayHaveRun() || attempts.mayTryAnotherEndpoint();
+        if (!retryAllowed || !attempts.isOneLeft()) {
             String detail = "endpoint " + failedEndpoint.getEndpoint().name() + ": " + failure.getWireName();
             fail(ErrorCode.STAGE_FAILED, detail, EndpointChoice.NO_ENDPOINT_RETRY_MILLIS);
             return;
@@ -303,7 +292,7 @@
     private void fail(ErrorCode code, String detail, long retryAfterMillis) {
         if (streamStarted) {
             endAndAnswer("broken_off:" + code.getWireName(), 0, routedRequest.exchange()::abort);
-        } else if (attemptsWithPossibleEffect == 0) {
+        } else if (!attempts.mayHaveTakenEffect()) {
             rejectNotRun(code, detail, retryAfterMillis);
         } else {
             Refusal.Kind kind = code == ErrorCode.DEADLINE_EXCEEDED ? Refusal.Kind.TIMED_OUT : Refusal.Kind.LOST;
@@ -346,11 +335,7 @@
     private void release(boolean answered) {
         choice.release();
         deadlineTimer.cancel();
-        EndpointAttempt attempt = currentAttempt;
-        currentAttempt = null;
-        if (attempt != null) {
-            attempt.cancel();
-        }
+        attempts.cancel();
         releaseResults();
         if (streamStarted) {
             context.origins().onEnded(routedRequest.streamId(), answered);
@@ -370,7 +355,7 @@
                 stagesNanos,
                 stageRun == null ? "" : stageRun.describeEnds(),
                 deadlineNanos - timers.now(),
-                attemptResults,
+                attempts.getResults(),
                 retryAfterMillis);
         RequestDecisionLog.writeEnding(context.log(), routedRequest, ending);
     }
@@ -386,24 +371,11 @@
     // -----------------------------------------------------------------------
 
     @Override
-    public boolean mayTryAnotherEndpoint() {
-        return routedRequest.route().kind().isRepeatable()
-                && attemptsWithPossibleEffect < routedRequest.route().maxAttempts()
-                && findQuarantined() == null;
-    }
-
-    @Override
-    public void recordResult(String result) {
-        attemptResults.add(result);
-    }
-
-    @Override
-    public void onFirstEvent(long elapsedNanos) {
-        EndpointAttempt attempt = currentAttempt;
-        if (!streamStarted && attempt != null) {
+    public void onFirstEvent(String version, long elapsedNanos) {
+        if (!streamStarted) {
             streamStarted = true;
-            choice.onStreamStarted(attempt.getVersion());
-            routedRequest.recordOrigin(context.origins(), new StreamOrigin(service, attempt.getVersion()));
+            choice.onStreamStarted(version);
+            routedRequest.recordOrigin(context.origins(), new StreamOrigin(service, version));
             releaseResults();
             statistics.onResponse(elapsedNanos);
             context.meters().time("first_event_seconds", routedRequest.route().name(), timers.now() - arrivedNanos);
@@ -412,7 +384,6 @@
 
     @Override
     public void onStreamCompleted() {
-        currentAttempt = null;
         served = true;
         end("answered", 0);
         routedRequest.exchange().finishStream();
@@ -420,14 +391,15 @@
 
     @Override
     public void onResponse(EndpointResponse response, EndpointState endpoint, long elapsedNanos) {
-        currentAttempt = null;
         boolean failed = response.getStatus() >= EndpointAttempt.FIRST_FAILURE_STATUS;
         if (!failed) {
             statistics.onResponse(elapsedNanos);
         }
         if (streamStarted) {
             fail(ErrorCode.STAGE_FAILED, "the stream was not resumed", 0);
-        } else if (failed && mayTryAnotherEndpoint() && context.budget().trySpend(service)) {
+        } else if (failed
+                && attempts.mayTryAnotherEndpoint()
+                && context.budget().trySpend(service)) {
             avoidedEndpoint = endpoint;
             context.meters().count("resends", CallFailure.ERROR.getWireName());
             send();
@@ -440,10 +412,6 @@
 
     @Override
     public void onFailure(CallFailure failure, EndpointState endpoint) {
-        currentAttempt = null;
-        if (!failure.mayHaveRun()) {
-            attemptsWithPossibleEffect--;
-        }
         retryOrFail(failure, endpoint);
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RequestDecisionLog.java
@@ -3,10 +3,11 @@
 import java.util.List;
 
 import org.fuchsiawharf.core.log.DecisionLog;
+import org.fuchsiawharf.core.retry.HedgeDelay;
 import org.fuchsiawharf.core.routing.EndpointState;
 
 /**
- * Writes the log events for the admission and the end of requests.
+ * Writes the log events for the admission, the hedges and the end of requests.
  *
  * <p>Stateless and thread-safe.
  */
@@ -35,6 +36,26 @@
             List<String> attempts,
             long retryAfterMillis) {}
 
+    /**
+     * The inputs of the decision on a hedge.
+     *
+     * @param service the called service
+     * @param slowEndpoint the endpoint of the first call
+     * @param elapsedNanos the time since the first call was sent, in nanoseconds
+     * @param estimate the response times on which the delay is based
+     * @param leftNanos the time left until the deadline, in nanoseconds
+     * @param attempts the number of attempts before the decision
+     * @param balance the hedges that the share of the service allowed, with fractions
+     */
+    record HedgeInputs(
+            String service,
+            EndpointState slowEndpoint,
+            long elapsedNanos,
+            HedgeDelay.Estimate estimate,
+            long leftNanos,
+            int attempts,
+            double balance) {}
+
     static void writeAdmission(
             DecisionLog log,
             RoutedRequest routedRequest,
@@ -79,6 +100,37 @@
                 decision.samples());
     }
 
+    static void writeHedge(
+            DecisionLog log, RoutedRequest routedRequest, HedgeInputs inputs, HedgeCheck.Decision decision) {
+        EndpointState endpoint = decision.endpoint();
+        log.write(
+                endpoint != null ? "request.hedged" : "request.not_hedged",
+                "request",
+                routedRequest.request().id(),
+                "service",
+                inputs.service(),
+                "reason",
+                decision.reason(),
+                "endpoint",
+                endpoint == null ? null : endpoint.getEndpoint().name(),
+                "slow_endpoint",
+                inputs.slowEndpoint().getEndpoint().name(),
+                "elapsed_ms",
+                inputs.elapsedNanos() / NANOS_PER_MILLI,
+                "delay_ms",
+                inputs.estimate().delayNanos() / NANOS_PER_MILLI,
+                "median_ms",
+                inputs.estimate().medianNanos() / NANOS_PER_MILLI,
+                "samples",
+                inputs.estimate().samples(),
+                "left_ms",
+                inputs.leftNanos() / NANOS_PER_MILLI,
+                "attempts",
+                inputs.attempts(),
+                "share_balance",
+                inputs.balance());
+    }
+
     static void writeStreamBegun(DecisionLog log, RoutedRequest routedRequest, EndpointState endpoint) {
         RelayRequest.TakeUp takeUp = routedRequest.request().takeUp();
         log.write(
--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -31,6 +31,8 @@
 import org.fuchsiawharf.core.pieces.PoolContext;
 import org.fuchsiawharf.core.pieces.StagePools;
 import org.fuchsiawharf.core.quarantine.CrashQuarantine;
+import org.fuchsiawharf.core.retry.HedgeLimits;
+import org.fuchsiawharf.core.retry.Hedging;
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.route.CallerLimits;
 import org.fuchsiawharf.core.route.PieceService;
@@ -358,6 +360,7 @@
                 pools,
                 this::callEngine,
                 budget,
+                Hedging.of(HedgeLimits.OFF, budget, timers::now),
                 new IdleConnectionLimits(() -> 1),
                 new RequestShares(members, instanceRandom),
                 new BrittleShares(members, timers::now, new SplittableRandom(1)),
--- a/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/RelayInstanceFixture.java
@@ -1,6 +1,7 @@
 package org.fuchsiawharf.core.relay;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -23,6 +24,8 @@
 import org.fuchsiawharf.core.pieces.StagePools;
 import org.fuchsiawharf.core.quarantine.CrashQuarantine;
 import org.fuchsiawharf.core.quarantine.QuarantineKeeper;
+import org.fuchsiawharf.core.retry.HedgeLimits;
+import org.fuchsiawharf.core.retry.Hedging;
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.route.CallerLimits;
 import org.fuchsiawharf.core.route.PieceService;
@@ -61,6 +64,7 @@
     final RelayContext context;
     final RelayInstance instance;
     final List<String> loggedEvents = new ArrayList<>();
+    final Map<String, Long> counts = new HashMap<>();
     private final SharedRetryBudget budget;
     private int nextId;
 
@@ -79,8 +83,29 @@
             List<Member> fleet,
             double retryAllowance,
             @Nullable EndpointCalls endpointCalls) {
+        this(timers, self, fleet, retryAllowance, endpointCalls, HedgeLimits.OFF);
+    }
+
+    private RelayInstanceFixture(
+            TimerService timers,
+            Member self,
+            List<Member> fleet,
+            double retryAllowance,
+            @Nullable EndpointCalls endpointCalls,
+            HedgeLimits hedgeLimits) {
         this.timers = timers;
         DecisionLog log = (event, fields) -> loggedEvents.add(event);
+        Meters meters = new Meters() {
+            @Override
+            public void count(String name, String label, long amount) {
+                counts.merge(name + ":" + label, amount, Long::sum);
+            }
+
+            @Override
+            public void time(String name, String label, long nanos) {
+                counts.merge(name + ":" + label, nanos, Long::sum);
+            }
+        };
         MemberTable members = new MemberTable(self);
         members.replace(fleet);
         EndpointTable table = new EndpointTable("a", NoConcurrencyLimit::new);
@@ -99,6 +124,7 @@
                 pools,
                 endpointCalls == null ? calls : endpointCalls,
                 budget,
+                Hedging.of(hedgeLimits, budget, timers::now),
                 new IdleConnectionLimits(() -> 1),
                 new RequestShares(members, random),
                 new BrittleShares(
@@ -109,11 +135,21 @@
                 timers,
                 random,
                 log,
-                Meters.NONE);
+                meters);
         instance = new RelayInstance(context);
         pools.start();
     }
 
+    /** Creates a configured instance that hedges requests; its calls go to its own fake if no calls are given. */
+    static RelayInstanceFixture hedging(
+            TimerService timers, HedgeLimits limits, double retryAllowance, @Nullable EndpointCalls endpointCalls) {
+        RelayInstanceFixture fixture =
+                new RelayInstanceFixture(timers, member(0), List.of(), retryAllowance, endpointCalls, limits);
+        fixture.instance.applyConfig(config(1, "plain"));
+        fixture.listEndpoints();
+        return fixture;
+    }
+
     static Member member(int index) {
         return new Member("m" + index, 1, "a", "10.0.1." + index, 7_000, 1);
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 
 import org.fuchsiawharf.core.member.Member;
+import org.fuchsiawharf.core.retry.HedgeLimits;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -19,6 +20,7 @@
  *     beyond those earned by requests
  * @param retryWindowMillis the length of the window, in milliseconds
  * @param gracePeriodMillis the longest time from the stop signal to the exit, in milliseconds
+ * @param hedgeLimits the extra work that hedges may cause
  */
 public record InstanceSettings(
         Member self,
@@ -28,4 +30,5 @@
         double retryRatio,
         double retryAllowance,
         long retryWindowMillis,
-        long gracePeriodMillis) {}
+        long gracePeriodMillis,
+        HedgeLimits hedgeLimits) {}
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -28,6 +28,7 @@
 import org.fuchsiawharf.core.relay.ObjectiveAdmission;
 import org.fuchsiawharf.core.relay.RelayContext;
 import org.fuchsiawharf.core.relay.RelayInstance;
+import org.fuchsiawharf.core.retry.Hedging;
 import org.fuchsiawharf.core.retry.SharedRetryBudget;
 import org.fuchsiawharf.core.route.RoutingConfig;
 import org.fuchsiawharf.core.routing.EndpointTable;
@@ -139,6 +140,7 @@
                 pools,
                 calls,
                 retryBudget,
+                Hedging.of(settings.hedgeLimits(), retryBudget, System::nanoTime),
                 new IdleConnectionLimits(members::size),
                 new RequestShares(members, random),
                 new BrittleShares(members, System::nanoTime, random),
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -19,6 +19,7 @@
 import org.fuchsiawharf.core.model.EndpointStatus;
 import org.fuchsiawharf.core.pieces.PieceCalls;
 import org.fuchsiawharf.core.pieces.PieceOrder;
+import org.fuchsiawharf.core.retry.HedgeLimits;
 import org.fuchsiawharf.core.route.CallerLimits;
 import org.fuchsiawharf.core.route.RequestKind;
 import org.fuchsiawharf.core.route.Route;
@@ -65,12 +66,27 @@
         this("test", 3_000, log, endpoint);
     }
 
+    /** Creates an instance that hedges requests. */
+    RelayFixture(HedgeLimits hedgeLimits, DecisionLog log, ScriptedEndpoint... endpoints) throws Exception {
+        this("test", 3_000, log, hedgeLimits, endpoints);
+    }
+
     RelayFixture(String name) throws Exception {
         this(name, 3_000, DecisionLog.NONE);
     }
 
     private RelayFixture(String name, long gracePeriodMillis, DecisionLog log, ScriptedEndpoint... endpoints)
             throws Exception {
+        this(name, gracePeriodMillis, log, HedgeLimits.OFF, endpoints);
+    }
+
+    private RelayFixture(
+            String name,
+            long gracePeriodMillis,
+            DecisionLog log,
+            HedgeLimits hedgeLimits,
+            ScriptedEndpoint... endpoints)
+            throws Exception {
         String host = InetAddress.getLoopbackAddress().getHostAddress();
         settings = new InstanceSettings(
                 new Member(name, 1, "a", host, LoopbackPorts.findFree(), 1),
@@ -80,7 +96,8 @@
                 0.2,
                 100,
                 10_000,
-                gracePeriodMillis);
+                gracePeriodMillis,
+                hedgeLimits);
         process = new RelayProcess(
                 settings, FieldNames.DEFAULT, p -> new UnsupportedPieceCalls(), log, new MicrometerMeters());
         process.getOrigins().setStore(new EmptyOriginStore());
