--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestHedgedLoad.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestHedgedLoad.java
@@ -85,6 +85,21 @@
                 is(lessThanOrEqualTo(1.01 * result.without().p50())));
     }
 
+    // Hedges that win against calls of an endpoint that never responds must not keep it from being ejected.
+    @Test
+    void doesNotSlowServiceWithHangingEndpoint() {
+        HedgedLoad.Faults hanging = (endpoint, nowNanos, random) -> endpoint.equals("p2") ? 1e6 : 1;
+        Comparison result = compare(hanging, 10);
+        assertThat(result.with().hedges(), is(lessThanOrEqualTo((long) (SHARE * REQUESTS))));
+        assertThat(result.with().failed(), is(lessThanOrEqualTo(result.without().failed())));
+        assertThat(
+                result.with().p999(),
+                is(lessThanOrEqualTo(1.01 * result.without().p999())));
+        assertThat(
+                result.with().p50(),
+                is(lessThanOrEqualTo(1.01 * result.without().p50())));
+    }
+
     // Hedges into a service without free slots would make every call wait longer.
     @Test
     void hedgesDoNotSlowOverloadedService() {
