--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
@@ -4,6 +4,7 @@
 
 import org.fuchsiawharf.core.limits.ColdShares;
 import org.fuchsiawharf.core.member.Member;
+import org.fuchsiawharf.core.retry.HedgeLimits;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,6 +22,7 @@
  * @param retryWindowMillis the length of the window, in milliseconds
  * @param coldTolerance what a cold endpoint may receive beyond the rate that it bears, from all instances together
  * @param gracePeriodMillis the longest time from the stop signal to the exit, in milliseconds
+ * @param hedgeLimits the extra work that hedges may cause
  */
 public record InstanceSettings(
         Member self,
@@ -31,10 +33,11 @@
         double retryAllowance,
         long retryWindowMillis,
         ColdShares.Tolerance coldTolerance,
-        long gracePeriodMillis) {
+        long gracePeriodMillis,
+        HedgeLimits hedgeLimits) {
 
     /**
-     * Creates settings with the defaults of what an operator may leave out.
+     * Creates settings for endpoints that are never cold.
      *
      * @param self the member entry of this instance, not null
      * @param callerAddress the listen address for callers, not null
@@ -44,6 +47,7 @@
      * @param retryAllowance the number of retries per window beyond those earned by requests
      * @param retryWindowMillis the length of the window, in milliseconds
      * @param gracePeriodMillis the longest time from the stop signal to the exit, in milliseconds
+     * @param hedgeLimits the extra work that hedges may cause, not null
      */
     public InstanceSettings(
             Member self,
@@ -53,7 +57,8 @@
             double retryRatio,
             double retryAllowance,
             long retryWindowMillis,
-            long gracePeriodMillis) {
+            long gracePeriodMillis,
+            HedgeLimits hedgeLimits) {
         this(
                 self,
                 callerAddress,
@@ -63,6 +68,7 @@
                 retryAllowance,
                 retryWindowMillis,
                 ColdShares.Tolerance.NONE,
-                gracePeriodMillis);
+                gracePeriodMillis,
+                hedgeLimits);
     }
 }
