Mend what the review of evacuation, cold endpoints and stated load found

Causes and changes, one for each finding: - Pieces that waited were sent to returning endpoints before these were limited: the pools learn of the change last. - Cold stage endpoints were limited at the owner of their pool as at any instance: the owner is their only sender. - A request whose endpoints are all cold failed at once after its stages: it waits for the next send. - Reports of free space were not counted: none is asked of a cold endpoint. - Durations and counts of old statements stayed in force: they approach the mean within a minute and seconds. - A cold time was limited to 60 s only: to the duration of a start, once for each statement. - Warm endpoints had no slow start; the cost of a zone left out the instance's own; a hedge that won readmitted an endpoint that had answered nothing; a named limit reset the interval of a cold endpoint.

Tests: TestZoneEvacuation and TestEndpointLoad, each with one more.

--- a/core/src/main/java/org/fuchsiawharf/core/limits/ColdShares.java
+++ b/core/src/main/java/org/fuchsiawharf/core/limits/ColdShares.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 
 import org.fuchsiawharf.core.member.Member;
 import org.fuchsiawharf.core.member.MemberTable;
+import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.route.ColdStart;
 import org.fuchsiawharf.core.route.ServiceSpec;
 import org.fuchsiawharf.core.routing.EndpointState;
@@ -29,12 +31,13 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Part of the bound that the instances of one view of the members use. */
     private static final double USED_SHARE = 0.5;
-    /** Part of what is used that is reserved for the requests by which senders exceed their parts. */
+    /** Part of what is used that is left for the requests by which senders exceed their parts, one for each sender. */
     private static final double SENDERS_SHARE = 0.32;
 
     private final MemberTable members;
     private final Tolerance tolerance;
     private final Map<String, ColdStart> byService = new HashMap<>();
+    private Function<Endpoint, List<Member>> stageOwners = endpoint -> List.of();
 
     /**
      * What a cold endpoint may receive in one second at most, from all instances together.
@@ -58,6 +61,15 @@
         this.tolerance = tolerance;
     }
 
+    /**
+     * Sets the ranking of the instances for the endpoints of stage services, which are called by the owner of their pool.
+     *
+     * @param ranking ranks every member for an endpoint, the owner first; empty for other endpoints; not null
+     */
+    public void setStageOwners(Function<Endpoint, List<Member>> ranking) {
+        stageOwners = ranking;
+    }
+
     /**
      * Applies the services of a configuration.
      *
@@ -72,7 +84,8 @@
      * Limits the requests to an endpoint that states that it is cold, or was found to be.
      *
      * @param endpoint the endpoint, not null
-     * @param untilNanos the time at which the endpoint is warm, in nanoseconds; a later time that is known is kept
+     * @param untilNanos the time at which the endpoint is warm, in nanoseconds, at most the duration of a start from now;
+     *     a later time that is known is kept
      * @param nowNanos the current time, in nanoseconds
      * @return true if the endpoint was not known to be cold
      */
@@ -82,7 +95,8 @@
         }
         RequestLimit limit = endpoint.getRequestLimit();
         boolean warm = !limit.isCold(nowNanos);
-        limit.limitWhileCold(untilNanos, () -> getIntervalNanos(endpoint));
+        long longestNanos = nowNanos + getColdStart(endpoint).durationMillis() * NANOS_PER_MILLI;
+        limit.limitWhileCold(Math.min(untilNanos, longestNanos), () -> getIntervalNanos(endpoint));
         return warm;
     }
 
@@ -113,9 +127,12 @@
     public long getIntervalNanos(EndpointState endpoint) {
         double perSecond = getColdStart(endpoint).requestsPerSecond();
         double bound = USED_SHARE * (perSecond * tolerance.factor() + tolerance.allowance());
-        int senders = Math.max(1, (int) (SENDERS_SHARE * bound));
-        List<Member> ranked = members.rankOwners(
-                endpoint.getEndpoint().name(), endpoint.getEndpoint().zone());
+        List<Member> owners = stageOwners.apply(endpoint.getEndpoint());
+        int senders = owners.isEmpty() ? Math.max(1, (int) (SENDERS_SHARE * bound)) : 1;
+        List<Member> ranked = owners.isEmpty()
+                ? members.rankOwners(
+                        endpoint.getEndpoint().name(), endpoint.getEndpoint().zone())
+                : owners;
         int rank = ranked.indexOf(members.getSelf());
         if (rank < 0 || rank >= senders) {
             return RequestLimit.NEVER;
--- a/core/src/main/java/org/fuchsiawharf/core/member/MemberTable.java
+++ b/core/src/main/java/org/fuchsiawharf/core/member/MemberTable.java
@@ -25,6 +25,9 @@
     /** Exponent of the capacity as weight for a role; an instance of twice the capacity is drawn eight times as often. */
     private static final double ROLE_CAPACITY_EXPONENT = 3;
 
+    /** Number of rankings by zone that are kept, each as large as the fleet. */
+    private static final int MAX_ZONE_RANKINGS = 256;
+
     private final Member self;
     private final Map<String, Member> members = new TreeMap<>();
     private final Map<String, List<Member>> rankingByKey = new HashMap<>();
@@ -121,6 +124,9 @@
      * @return an immutable list of every member, the owner first, never null
      */
     public List<Member> rankOwners(String key, String zone) {
+        if (rankingByZone.size() >= MAX_ZONE_RANKINGS) {
+            rankingByZone.clear();
+        }
         return rankingByZone.computeIfAbsent(
                 new ZoneKey(key, zone), k -> rank(key, 1, member -> isIn(zone, member) ? 0 : 1));
     }
--- a/core/src/main/java/org/fuchsiawharf/core/pieces/ForeignSpaceEstimator.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/ForeignSpaceEstimator.java
@@ -116,7 +116,11 @@
     private void requestReport(Endpoint endpoint, long capacityBytes, Estimate estimate) {
         EndpointState state = table.getEndpoint(endpoint.name());
         // The few requests that a limited endpoint accepts are left to calls.
-        if (state == null || state.getRequestLimit().getPerSecond() > 0 || !state.acceptsRequest(timers.now())) {
+        long now = timers.now();
+        if (state == null
+                || state.getRequestLimit().getPerSecond() > 0
+                || state.getRequestLimit().isCold(now)
+                || !state.acceptsRequest(now)) {
             return;
         }
         estimate.requestedAtNanos = timers.now();
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointAttempt.java
@@ -122,7 +122,8 @@
         cancel();
         if (getElapsedNanos() > endpoint.getServiceTime().getMean()) {
             endpoint.onCompleted(getElapsedNanos());
-            if (!silent && context.health().onSuccess(pool, endpoint, false, timers.now())) {
+            // A call that is a probe shows no health before it is answered.
+            if (!silent && !endpoint.isEjected() && context.health().onSuccess(pool, endpoint, false, timers.now())) {
                 context.log()
                         .write(
                                 "endpoint.ejected",
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointChoice.java
@@ -109,11 +109,14 @@
 
     /** Checks whether each usable endpoint runs or queues as many calls as it has slots, by its last report and own calls. */
     boolean isServiceFull() {
-        return getPool().getEndpoints().stream().filter(EndpointState::isUsable).allMatch(EndpointChoice::isFull);
+        long now = context.timers().now();
+        return getPool().getEndpoints().stream()
+                .filter(EndpointState::isUsable)
+                .allMatch(endpoint -> isFull(endpoint, now));
     }
 
-    static boolean isFull(EndpointState endpoint) {
-        return Math.max(endpoint.getLoad().getReportedCalls(), endpoint.getInFlight()) >= endpoint.getSlots();
+    static boolean isFull(EndpointState endpoint, long nowNanos) {
+        return Math.max(endpoint.getLoad().getRecentCalls(nowNanos), endpoint.getInFlight()) >= endpoint.getSlots();
     }
 
     /**
@@ -125,7 +128,7 @@
             return context.timers().now();
         }
         return getPool().getEndpoints().stream()
-                .filter(endpoint -> !endpoint.isLeaving() && isLimited(endpoint))
+                .filter(endpoint -> !endpoint.isLeaving() && (isLimited(endpoint) || isCold(endpoint)))
                 .mapToLong(endpoint -> endpoint.getRequestLimit().getNextSendNanos())
                 .min()
                 .orElse(Long.MAX_VALUE);
@@ -195,4 +198,8 @@
     private static boolean isLimited(EndpointState endpoint) {
         return endpoint.getRequestLimit().getPerSecond() > 0;
     }
+
+    private boolean isCold(EndpointState endpoint) {
+        return endpoint.getRequestLimit().isCold(context.timers().now());
+    }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/relay/EndpointUpdates.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/EndpointUpdates.java
@@ -1,7 +1,10 @@
 package org.fuchsiawharf.core.relay;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.fuchsiawharf.core.model.EndpointStatus;
 import org.fuchsiawharf.core.routing.Brittleness;
@@ -19,6 +22,7 @@
 
     private final RelayContext context;
     private final ZoneEvacuations evacuations = new ZoneEvacuations();
+    private final Map<String, Long> appliedColdNanos = new HashMap<>();
 
     EndpointUpdates(RelayContext context) {
         this.context = context;
@@ -33,8 +37,14 @@
      */
     public void onEndpoints(List<EndpointStatus> endpoints) {
         evacuations.onListed(endpoints);
+        appliedColdNanos
+                .keySet()
+                .retainAll(endpoints.stream()
+                        .map(status -> status.endpoint().name() + "/" + status.incarnation())
+                        .collect(Collectors.toSet()));
         context.origins().getHistory().onListed(endpoints);
         Set<String> changed = updateTable();
+        context.pools().onEndpointsChanged();
         context.log()
                 .write(
                         "endpoints.changed",
@@ -56,6 +66,9 @@
         updateTable();
         long now = context.timers().now();
         int cold = context.coldShares().onReturned(context.table().getEndpoints(), ended, now);
+        // Pieces that wait are sent at once, so that endpoints that return must be known as cold before.
+        context.pools().onEndpointsChanged();
+        context.meters().count("zone_evacuations", ended.isEmpty() ? "begun" : "ended");
         context.log()
                 .write(
                         "zones.evacuated",
@@ -75,11 +88,25 @@
         List<EndpointStatus> usable = evacuations.getUsable();
         Set<String> changed = context.table().update(usable);
         context.brittleShares().onListed(context.table().getEndpoints());
-        usable.forEach(status -> onCold(status.endpoint().name(), status.coldUntilNanos()));
-        context.pools().onEndpointsChanged();
+        usable.forEach(this::applyColdTime);
         return changed;
     }
 
+    // Each statement counts once, so that an entry that states an endless time does not limit its endpoint for ever.
+    private void applyColdTime(EndpointStatus status) {
+        String process = status.endpoint().name() + "/" + status.incarnation();
+        Long applied = appliedColdNanos.put(process, status.coldUntilNanos());
+        if (applied == null || applied != status.coldUntilNanos()) {
+            onCold(status.endpoint().name(), status.coldUntilNanos());
+        }
+    }
+
+    /** Applies the cold times of all endpoints again, because what their services bear has changed. */
+    void onServicesChanged() {
+        appliedColdNanos.clear();
+        evacuations.getUsable().forEach(this::applyColdTime);
+    }
+
     /**
      * Limits the requests to an endpoint that stated, in its entry or in a response, that it is cold.
      *
--- a/core/src/main/java/org/fuchsiawharf/core/relay/HedgeCheck.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/HedgeCheck.java
@@ -103,7 +103,7 @@
         if (endpoint.getBrittleness().getMaxRejections() != Brittleness.NONE) {
             return "endpoint_brittle";
         }
-        return EndpointChoice.isFull(endpoint) ? "endpoint_full" : null;
+        return EndpointChoice.isFull(endpoint, now) ? "endpoint_full" : null;
     }
 
     private static Decision reject(String reason) {
--- a/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
+++ b/core/src/main/java/org/fuchsiawharf/core/relay/RelayInstance.java
@@ -53,6 +53,7 @@
         this.forecast = new StageForecast(this::findPieceService, context.pools()::getBacklog);
         context.requestShares().setStageOwners(context.pools()::rankOwners);
         context.brittleShares().setStageOwners(context.pools()::rankOwners);
+        context.coldShares().setStageOwners(context.pools()::rankOwners);
         context.quarantine().setQuarantineListener(this::onQuarantined);
         context.table().setReplacementListener(context.quarantine()::onReplaced);
     }
@@ -74,6 +75,7 @@
         statistics.keySet().retainAll(next.getRouteNames());
         context.idleConnections().setServices(next.getServices().values());
         context.coldShares().setServices(next.getServices().values());
+        endpointUpdates.onServicesChanged();
         context.pools().setServices(next.getServices().values());
         context.log()
                 .write(
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointLoad.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointLoad.java
@@ -5,16 +5,18 @@
  *
  * <p>Answers endpoints of unequal speed, and endpoints that are slow or full for a moment. The duration of work is a
  * ratio to the usual duration of the service. What an endpoint states changes many times a second, so that the latest
- * ratio holds for a moment only; after it, the ratio that the endpoint states most of the time is expected. The numbers
- * of calls approach the mean of the service as they age.
+ * ratio holds for a moment only; after it, the ratio that the endpoint states most of the time is expected. As statements
+ * age, the ratio and the number of waiting calls approach the mean of the service, and the number of running calls 0.
  *
  * <p>Confined to the decision loop.
  */
 public final class EndpointLoad {
     /** Time for which an endpoint typically stays slower than usual, because of others on its machine. */
     private static final long MOMENTARY_NANOS = 600_000_000L;
-    /** Age at which the stated number of waiting calls says nothing any more; a few times the duration of a call. */
+    /** Age at which the stated numbers of calls say nothing any more; a few times the duration of a call. */
     private static final long COUNTS_NANOS = 2_000_000_000L;
+    /** Age at which the usual duration of an endpoint is unknown again, so that it is tried from time to time. */
+    private static final long USUAL_NANOS = 60_000_000_000L;
     /** Bounds of a plausible ratio of the duration of work. */
     private static final double MIN_RATIO = 0.05;
 
@@ -97,7 +99,8 @@
         if (!ratioStated) {
             return meanRatio;
         }
-        return usualRatio + (latestRatio - usualRatio) * freshness(ratioNanos, MOMENTARY_NANOS, nowNanos);
+        double usual = meanRatio + (usualRatio - meanRatio) * freshness(ratioNanos, USUAL_NANOS, nowNanos);
+        return usual + (latestRatio - usual) * freshness(ratioNanos, MOMENTARY_NANOS, nowNanos);
     }
 
     /**
@@ -123,9 +126,19 @@
         return running + waiting;
     }
 
-    /** Gets the number of running calls that the endpoint last stated, 0 if it stated none. */
-    int getRunning() {
-        return running;
+    /** Gets the number of running calls, as far as the statement of the endpoint is recent. */
+    double getRunning(long nowNanos) {
+        return running * freshness(countsNanos, COUNTS_NANOS, nowNanos);
+    }
+
+    /**
+     * Gets the number of running and waiting calls, as far as the statement of the endpoint is recent.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     * @return the number, 0 if the statement is old
+     */
+    public int getRecentCalls(long nowNanos) {
+        return nowNanos - countsNanos < COUNTS_NANOS ? running + waiting : 0;
     }
 
     /** Gets the number of waiting calls that the endpoint last stated, 0 if it stated none. */
--- a/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/EndpointState.java
@@ -132,7 +132,7 @@
      * Checks whether the endpoint accepts a request of any kind, regardless of its health and occupancy.
      *
      * @param nowNanos the current time, in nanoseconds
-     * @return true if the endpoint is not leaving, and neither a pause nor a limit that it named forbids the request
+     * @return true if the endpoint is not leaving, and neither a pause nor a limit, named or of a cold endpoint, forbids the request
      */
     public boolean acceptsRequest(long nowNanos) {
         return !isLeaving() && getRequestLimit().maySend(nowNanos);
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
@@ -156,18 +156,19 @@
 
         private double getZoneCostNanos(EndpointState state) {
             InputPlace place = inputs;
-            if (place != null && !place.zone().equals(state.getEndpoint().zone())) {
-                return place.transferCostNanos();
-            }
-            return state.isOwnZone() ? 0 : crossZoneNanos;
+            double transferNanos =
+                    place == null || place.zone().equals(state.getEndpoint().zone()) ? 0 : place.transferCostNanos();
+            return transferNanos + (state.isOwnZone() ? 0 : crossZoneNanos);
         }
     }
 
     private static double slowStartShare(EndpointState state, long nowNanos) {
-        if (state.getReadmittedNanos() == Long.MIN_VALUE) {
+        long startNanos =
+                Math.max(state.getReadmittedNanos(), state.getRequestLimit().getColdUntilNanos());
+        if (startNanos == Long.MIN_VALUE) {
             return 1;
         }
-        double age = (nowNanos - state.getReadmittedNanos()) / SLOW_START_NANOS;
+        double age = Math.max(0, (nowNanos - startNanos) / SLOW_START_NANOS);
         return Math.min(1, MIN_SLOW_START_SHARE + (1 - MIN_SLOW_START_SHARE) * age);
     }
 }
--- a/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
@@ -54,7 +54,8 @@
             lastNamedNanos = nowNanos;
             if (perSecond == 0) {
                 firstNamedNanos = nowNanos;
-                lastSentNanos = Long.MIN_VALUE / 2;
+                // The interval of a cold endpoint counts from the same time.
+                lastSentNanos = isCold(nowNanos) ? lastSentNanos : Long.MIN_VALUE / 2;
             }
         }
         boolean changed = limit != perSecond;
@@ -78,7 +79,8 @@
      * @return true if the endpoint accepts requests, and there is no limit or the interval has passed
      */
     public boolean maySend(long nowNanos) {
-        return nowNanos >= pausedUntilNanos && nowNanos >= getNextSendNanos();
+        boolean limited = perSecond > 0 || isCold(nowNanos);
+        return nowNanos >= pausedUntilNanos && (!limited || nowNanos >= getNextSendNanos());
     }
 
     /**
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ServicePool.java
@@ -235,7 +235,7 @@
     double getStatedNanos(EndpointState state, long nowNanos) {
         double ratio = getDurationRatio(state, nowNanos);
         double waiting = state.getLoad().getWaiting(whole.meanWaiting, state.getInFlight(), nowNanos);
-        double running = Math.min(1, state.getLoad().getRunning() / (double) state.getSlots());
+        double running = Math.min(1, state.getLoad().getRunning(nowNanos) / state.getSlots());
         boolean streams = whole.startTime.getCount() >= whole.serviceTime.getCount();
         double waitingShare = streams ? WAITING_STREAM_SHARE : 1.0 / state.getSlots();
         double nanos = (streams ? whole.startTime : whole.serviceTime).getMean();
--- a/core/src/test/java/org/fuchsiawharf/core/relay/TestZoneEvacuation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/TestZoneEvacuation.java
@@ -8,6 +8,8 @@
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.model.EndpointStatus;
 import org.fuchsiawharf.core.port.CallFailure;
+import org.fuchsiawharf.core.route.ColdStart;
+import org.fuchsiawharf.core.route.ServiceSpec;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -17,6 +19,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
 class TestZoneEvacuation {
@@ -50,9 +53,10 @@
     private List<String> zonesOfRequests(String path) {
         int before = fixture.calls.sent.size();
         IntStream.range(0, REQUESTS).forEach(i -> {
+            int sent = fixture.calls.sent.size();
             fixture.request(path, 1_000);
             fixture.advance(10);
-            fixture.calls.last().respond(200);
+            fixture.calls.sent.subList(sent, fixture.calls.sent.size()).forEach(call -> call.respond(200));
         });
         return fixture.calls.sent.subList(before, fixture.calls.sent.size()).stream()
                 .map(call -> call.endpoint.zone())
@@ -111,6 +115,17 @@
         assertThat(fixture.pieces.getReleasedHandles().size(), is(released));
     }
 
+    // The endpoints of a zone that was taken back received all requests that came within the time of a start.
+    @Test
+    void endpointsOfZoneThatIsTakenBackGetFewRequestsAtFirst() {
+        fixture.context.coldShares().setServices(List.of(new ServiceSpec("plain", null, 10, new ColdStart(3_000, 2))));
+        evacuate("b");
+        evacuate("a");
+        assertThat(zonesOfRequests("/get/x").stream().filter("b"::equals).count(), is(lessThan(REQUESTS / 2L)));
+        fixture.advance(3_000);
+        assertThat(zonesOfRequests("/get/x"), everyItem(is("b")));
+    }
+
     @Test
     void requestIsRefusedAsNotRunWhileAllZonesAreEvacuated() {
         evacuate("a", "b");
--- a/core/src/test/java/org/fuchsiawharf/core/routing/TestEndpointLoad.java
+++ b/core/src/test/java/org/fuchsiawharf/core/routing/TestEndpointLoad.java
@@ -39,6 +39,14 @@
         assertThat(load.getDurationRatio(1, 5_000 * MILLI), is(lessThan(0.85)));
     }
 
+    // An endpoint that was met in a slow moment was never tried again.
+    @Test
+    void usualDurationIsForgottenAfterAMinute() {
+        load.onDuration(2.5, 0);
+        assertThat(load.getDurationRatio(1, 5_000 * MILLI), is(closeTo(2.4, 0.1)));
+        assertThat(load.getDurationRatio(1, 60_000 * MILLI), is(1.0));
+    }
+
     @Test
     void waitingCallsApproachMeanOfServiceAsTheyAge() {
         load.onCounts(5, 8, 1, 0);
