Bound what clients hold at the ports for callers, peers and status pages

Cause: responses that a caller did not read piled up without bound, as the next request was handled at once. A head of legal size could have thousands of lines, each of which takes some 160 bytes when decoded; trailers likewise. The bodies of all callers together, the connections, the incomplete frames at the port for peers and pipelined requests for status pages had no bound. When connections had taken all descriptors, a class could not be loaded and the I/O thread ended, while the process lived on.

Change: each connection reports what it holds to CallerMemory: undecoded bytes, heads as decoded, bodies, requests read ahead and unwritten responses. No request is handled while the channel is not writable, and none is decoded while 32 KB are read ahead. Lines of a head are counted before they are decoded, trailers with them, and trailers are dropped. Bodies are collected outside the heap: discarded ones filled its old generation. A caller whose incomplete request is refused for memory gets 503; the request has not run. Accepted connections of peers and connections to status pages are bounded in the same way; a status page is rendered after the one before it was passed on; a peer may not state a second name.

The edge of the module http is not changed.

--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerFrames.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerFrames.java
@@ -1,7 +1,8 @@
 package org.fuchsiawharf.peer;
 
+import java.util.function.LongConsumer;
+
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
@@ -22,8 +23,18 @@
 
     /** Adds the handlers that decode and encode frames. */
     static void addTo(ChannelPipeline pipeline) {
+        addTo(pipeline, bytes -> {});
+    }
+
+    /**
+     * Adds the handlers that decode and encode frames.
+     *
+     * @param pipeline the handlers of the connection, not null
+     * @param onHeldBytes receives the memory of the incomplete frame after each read, in bytes, not null
+     */
+    static void addTo(ChannelPipeline pipeline, LongConsumer onHeldBytes) {
         pipeline.addLast(
-                new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                new CountingFrameDecoder(MAX_FRAME_BYTES, LENGTH_BYTES, onHeldBytes),
                 new ProtobufDecoder(PeerProto.Frame.getDefaultInstance()),
                 new LengthFieldPrepender(LENGTH_BYTES),
                 new ProtobufEncoder());
--- a/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/PeerNetwork.java
@@ -65,6 +65,7 @@
     private final Set<String> connecting = ConcurrentHashMap.newKeySet();
     private @Nullable PeerListener listener;
     private @Nullable TunnelCarrier tunnelCarrier;
+    private @Nullable AcceptedConnections acceptedConnections;
 
     /**
      * Creates a network that has no connections and is not bound.
@@ -119,6 +120,15 @@
         tunnelCarrier = carrier;
     }
 
+    /**
+     * Sets the bounds of accepted connections; called before {@link #bind}. Without it they are not bounded.
+     *
+     * @param accepted counts and closes the connections, not null
+     */
+    public void setAcceptedConnections(AcceptedConnections accepted) {
+        acceptedConnections = accepted;
+    }
+
     // -----------------------------------------------------------------------
 
     @Override
@@ -325,8 +335,10 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                PeerFrames.addTo(channel.pipeline());
-                channel.pipeline().addLast(new PeerConnection(PeerNetwork.this, peer));
+                AcceptedConnections bounded = peer == null ? acceptedConnections : null;
+                AcceptedConnections.Accepted accepted = bounded == null ? null : bounded.open(channel);
+                PeerFrames.addTo(channel.pipeline(), accepted == null ? bytes -> {} : accepted);
+                channel.pipeline().addLast(new PeerConnection(PeerNetwork.this, peer, accepted));
             }
         };
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerConnection.java
@@ -1,10 +1,6 @@
 package org.fuchsiawharf.relay.edge;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -14,7 +10,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -24,7 +19,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -32,32 +26,38 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import org.fuchsiawharf.core.limits.CallerMemory;
 import org.fuchsiawharf.core.route.CallerLimits;
+import org.fuchsiawharf.core.util.FatalErrors;
 import org.fuchsiawharf.relay.Failures;
 import org.jspecify.annotations.Nullable;
 
 /**
  * The connection of one caller.
  *
- * <p>Requests are handled one at a time and in order; pipelined requests are queued. The connection is read while a
- * request is in flight, so that a disconnect of the caller is detected at once. The connection is closed only between
- * requests, or to signal that a response is incomplete. A response belongs to its request until its last byte has been
- * passed to the operating system. Confined to the I/O thread.
+ * <p>Requests are handled one at a time and in order; pipelined requests are queued up to a bound, and not handled while
+ * the caller does not read its responses. The connection is read while a request is in flight, so that a disconnect of
+ * the caller is detected at once. It is closed only between requests, at a limit, or because a response is incomplete. A
+ * response belongs to its request until the operating system has its last byte. Confined to the I/O thread.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
-    /** Queued message parts of pipelined requests above which reading is paused. */
-    private static final int MAX_PENDING_PARTS = 64;
+    /** Memory of a connection without a request: the channel with its handlers, and timers. */
+    private static final int CONNECTION_BYTES = 8_192;
     /** Time for the caller to close the connection after the last response; several round trips. */
     private static final long LINGER_MILLIS = 1_000;
 
     private final CallerServer server;
-    private final Deque<Object> pendingParts = new ArrayDeque<>();
+    private final RequestDecoder decoder;
+    private final PendingParts pendingParts = new PendingParts();
+    private CallerMemory.@Nullable Account account;
     private @Nullable ChannelHandlerContext channelContext;
     private @Nullable HttpRequest requestHead;
-    private @Nullable ByteBuf requestBody;
+    private @Nullable BodyCollector requestBody;
     private @Nullable HttpCallerExchange exchange;
+    /** Memory of the request that is received or answered, without its body while it is received. */
+    private long requestBytes;
+
     private boolean closeAfterResponse;
     private boolean closing;
     private boolean streaming;
@@ -67,6 +67,12 @@
 
     CallerConnection(CallerServer server) {
         this.server = server;
+        this.decoder = new RequestDecoder(
+                server.getLimits().maxHeaderBytes(), server.getBounds().maxHeaderLines(), this::isReadAheadFull);
+    }
+
+    RequestDecoder getDecoder() {
+        return decoder;
     }
 
     // -----------------------------------------------------------------------
@@ -74,7 +80,13 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channelContext = context;
-        server.onOpened(this);
+        account = server.getMemory().open(this::onLimited);
+        if (account == null) {
+            closing = true;
+            onLimited(CallerMemory.Limit.MAX_CONNECTIONS);
+        } else {
+            server.onOpened(this);
+        }
     }
 
     @Override
@@ -82,23 +94,100 @@
         lastActivityNanos = System.nanoTime();
         if (closing) {
             ReferenceCountUtil.release(message);
-        } else if (exchange != null) {
-            pendingParts.add(message);
-            if (pendingParts.size() > MAX_PENDING_PARTS) {
-                context.channel().config().setAutoRead(false);
-            }
+        } else if (mayProcess(context) && pendingParts.isEmpty()) {
+            process(context, message, decoder.getLastHeadBytes());
         } else {
-            process(context, message);
+            pendingParts.add(message, message instanceof HttpRequest ? decoder.getLastHeadBytes() : 0);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        long readAheadBytes = pendingParts.getHeldBytes() + decoder.getUndecodedBytes();
+        boolean reads = context.channel().config().isAutoRead();
+        if (reads && !mayProcess(context) && readAheadBytes > server.getBounds().maxReadAheadBytes()) {
+            context.channel().config().setAutoRead(false);
+            server.onLimited(context.channel(), "max_read_ahead_bytes");
+        }
+        countMemory();
+        context.fireChannelReadComplete();
+    }
+
+    // While the caller does not read its responses, no more of them are produced.
+    private boolean mayProcess(ChannelHandlerContext context) {
+        return exchange == null && context.channel().isWritable();
+    }
+
+    private void processPending(ChannelHandlerContext context) {
+        while (mayProcess(context) && !closing && !pendingParts.isEmpty()) {
+            PendingParts.Part part = pendingParts.remove();
+            process(context, part.message(), part.headBytes());
+        }
+        if (!closing && !isReadAheadFull()) {
+            context.channel().config().setAutoRead(true);
+            decoder.resume();
+        }
+        countMemory();
+    }
+
+    private boolean isReadAheadFull() {
+        return !closing && pendingParts.getHeldBytes() >= server.getBounds().maxReadAheadBytes();
+    }
+
+    // -----------------------------------------------------------------------
+
+    private void countMemory() {
+        CallerMemory.Account current = account;
+        ChannelHandlerContext context = channelContext;
+        if (current == null || context == null) {
+            return;
+        }
+        BodyCollector body = requestBody;
+        current.setState(getState(context));
+        current.setBytes(CONNECTION_BYTES
+                + decoder.getHeldBytes()
+                + requestBytes
+                + (body == null ? 0 : body.getHeldBytes())
+                + pendingParts.getHeldBytes()
+                + CallerResponses.countUnwrittenBytes(context.channel()));
+    }
+
+    private CallerMemory.State getState(ChannelHandlerContext context) {
+        if (!hasUnsentResponse()) {
+            return CallerMemory.State.WAITING;
         }
+        boolean ahead = !pendingParts.isEmpty() || decoder.getUndecodedBytes() > 0;
+        boolean unread = exchange == null || !context.channel().isWritable();
+        return ahead || unread ? CallerMemory.State.UNREAD : CallerMemory.State.BUSY;
     }
 
-    private void process(ChannelHandlerContext context, Object message) {
+    // Called while another connection, or a step of this one, is processed.
+    private void onLimited(CallerMemory.Limit limit) {
+        ChannelHandlerContext context = channelContext;
+        if (context != null) {
+            server.onLimited(context.channel(), limit.getSetting());
+            context.executor().execute(() -> closeLimited(context, limit));
+        }
+    }
+
+    // The time to read a response takes a descriptor, which is not spent if there are too many connections.
+    private void closeLimited(ChannelHandlerContext context, CallerMemory.Limit limit) {
+        if (limit == CallerMemory.Limit.MAX_BYTES && requestHead != null && !closing && !hasUnsentResponse()) {
+            rejectAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "the callers hold too much memory");
+        } else {
+            context.close();
+        }
+    }
+
+    private void process(ChannelHandlerContext context, Object message, long headBytes) {
         try {
             if (message instanceof HttpRequest request) {
+                requestBytes = headBytes;
                 onHead(context, request);
             }
-            if (message instanceof HttpContent content && requestHead != null) {
-                onContent(context, content);
+            HttpRequest head = requestHead;
+            if (message instanceof HttpContent content && head != null) {
+                onContent(context, head, content);
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -106,68 +195,44 @@
     }
 
     private void onHead(ChannelHandlerContext context, HttpRequest request) {
-        Throwable cause = request.decoderResult().cause();
-        if (cause != null) {
-            boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-            rejectAndClose(
-                    tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
-                    String.valueOf(cause.getMessage()));
-            return;
-        }
-        String problem = findAmbiguity(request);
+        RequestCheck.Problem problem = RequestCheck.find(request, server.getSingleValuedFields());
         if (problem != null) {
-            rejectAndClose(HttpResponseStatus.BAD_REQUEST, problem);
+            if (decoder.isRejected()) {
+                server.onLimited(context.channel(), "max_header_lines");
+            }
+            rejectAndClose(problem.status(), problem.detail());
             return;
         }
         requestHead = request;
-        requestBody = Unpooled.buffer();
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
-    private @Nullable String findAmbiguity(HttpRequest request) {
-        HttpHeaders fields = request.headers();
-        List<String> transferCodings = fields.getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        if (transferCodings.size() > 1
-                || (transferCodings.size() == 1
-                        && !transferCodings.get(0).trim().equalsIgnoreCase("chunked"))) {
-            return "transfer encodings other than chunked are not supported";
-        }
-        if (!transferCodings.isEmpty() && !request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-            return "chunks need HTTP/1.1";
-        }
-        if (fields.getAll(HttpHeaderNames.HOST).size() != 1) {
-            return "the request needs exactly one host";
-        }
-        for (String name : server.getSingleValuedFields()) {
-            if (fields.getAll(name).size() > 1) {
-                return "the field " + name + " stands more than once";
-            }
-        }
-        return null;
-    }
-
-    private void onContent(ChannelHandlerContext context, HttpContent content) {
-        ByteBuf body = requestBody;
-        HttpRequest request = requestHead;
-        if (body == null || request == null) {
-            return;
-        }
+    private void onContent(ChannelHandlerContext context, HttpRequest request, HttpContent content) {
         if (content.decoderResult().isFailure()) {
+            if (content.decoderResult().cause() instanceof TooLongHttpHeaderException) {
+                server.onLimited(context.channel(), "trailers");
+            }
             rejectAndClose(HttpResponseStatus.BAD_REQUEST, "malformed body");
             return;
         }
-        // Parts of a composite buffer would be merged again and again if they are small.
-        body.writeBytes(content.content());
-        if (body.readableBytes() > server.getLimits().maxBodyBytes()) {
+        if (content.content().isReadable()) {
+            // Bodies that are discarded would fill the heap until the next collection of its old generation.
+            requestBody = requestBody == null ? new BodyCollector(context.alloc()) : requestBody;
+            requestBody.add(content.content());
+        }
+        BodyCollector body = requestBody;
+        if (body != null && body.size() > server.getLimits().maxBodyBytes()) {
             rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
         } else if (content instanceof LastHttpContent) {
             requestHead = null;
             requestBody = null;
             closeAfterResponse = !HttpUtil.isKeepAlive(request);
-            HttpCallerExchange newExchange = new HttpCallerExchange(this, server, request, body);
+            requestBytes += body == null ? 0 : body.getHeldBytes();
+            ByteBuf completeBody = body == null ? Unpooled.EMPTY_BUFFER : body.complete();
+            HttpCallerExchange newExchange = new HttpCallerExchange(this, server, request, completeBody);
             exchange = newExchange;
             server.onRequest(newExchange);
         }
@@ -175,10 +240,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        server.onClosed(this);
+        server.onClosed(this, account);
         closing = true;
-        pendingParts.forEach(ReferenceCountUtil::release);
-        pendingParts.clear();
+        pendingParts.release();
         discardRequest();
         HttpCallerExchange currentExchange = exchange;
         exchange = null;
@@ -192,12 +256,16 @@
         HttpCallerExchange currentExchange = exchange;
         if (currentExchange != null) {
             currentExchange.onWritable(context.channel().isWritable());
+        } else if (context.channel().isWritable()) {
+            processPending(context);
         }
+        countMemory();
         context.fireChannelWritabilityChanged();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        FatalErrors.check(cause);
         boolean broken = cause instanceof IOException;
         server.onConnectionFailed(broken ? String.valueOf(cause.getMessage()) : Failures.describe(cause));
         context.close();
@@ -239,10 +307,7 @@
         if (write == null || write.isDone()) {
             return false;
         }
-        WriteBufferWaterMark waterMark = channel.config().getWriteBufferWaterMark();
-        long bytes = channel.isWritable()
-                ? waterMark.high() - channel.bytesBeforeUnwritable()
-                : waterMark.low() + channel.bytesBeforeWritable();
+        long bytes = CallerResponses.countUnwrittenBytes(channel);
         if (bytes != unwrittenBytes) {
             unwrittenBytes = bytes;
             lastActivityNanos = nowNanos;
@@ -264,13 +329,7 @@
             content.release();
             return;
         }
-        boolean headRequest = HttpMethod.HEAD.equals(exchange.getHead().method());
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
-        response.headers().set(fields);
-        if (!headRequest || !fields.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            HttpUtil.setContentLength(response, content.readableBytes());
-        }
-        finish(context, response);
+        finish(context, CallerResponses.create(exchange.getHead().method(), status, fields, content));
     }
 
     void startStream(int status, HttpHeaders fields) {
@@ -316,21 +375,22 @@
         }
         streaming = false;
         exchange = null;
+        requestBytes = 0;
         lastActivityNanos = System.nanoTime();
         trackWrite(write(context, last));
         if (closeAfterResponse) {
             closeGracefully(context);
             return;
         }
-        context.channel().config().setAutoRead(true);
-        while (exchange == null && !closing && !pendingParts.isEmpty()) {
-            process(context, pendingParts.remove());
-        }
+        processPending(context);
     }
 
     // A response must not end as complete without a part that was not written.
     private ChannelFuture write(ChannelHandlerContext context, Object message) {
-        return context.writeAndFlush(message).addListener(done -> {
+        ChannelFuture write = context.writeAndFlush(message);
+        countMemory();
+        return write.addListener(done -> {
+            countMemory();
             if (!done.isSuccess() && context.channel().isActive()) {
                 server.onConnectionFailed("a response was not written: " + Failures.describe(done.cause()));
                 abort();
@@ -358,20 +418,14 @@
             return;
         }
         server.onMalformed(status.code(), detail);
-        ByteBuf content = Unpooled.copiedBuffer(detail, StandardCharsets.UTF_8);
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        HttpUtil.setContentLength(response, content.readableBytes());
-        context.writeAndFlush(response);
+        context.writeAndFlush(CallerResponses.createRejection(status, detail));
         closeGracefully(context);
     }
 
     // Closing the socket with unread bytes would reset the connection and discard the response.
     private void closeGracefully(ChannelHandlerContext context) {
         closing = true;
-        pendingParts.forEach(ReferenceCountUtil::release);
-        pendingParts.clear();
+        pendingParts.release();
         context.channel().config().setAutoRead(true);
         ChannelFuture write = context.writeAndFlush(Unpooled.EMPTY_BUFFER);
         trackWrite(write);
@@ -385,7 +439,8 @@
 
     private void discardRequest() {
         requestHead = null;
-        ByteBuf body = requestBody;
+        requestBytes = exchange == null ? 0 : requestBytes;
+        BodyCollector body = requestBody;
         requestBody = null;
         if (body != null) {
             body.release();
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerServer.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/CallerServer.java
@@ -20,6 +20,9 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.fuchsiawharf.core.error.ErrorCode;
 import org.fuchsiawharf.core.error.WharfException;
+import org.fuchsiawharf.core.limits.CallerBounds;
+import org.fuchsiawharf.core.limits.CallerMemory;
+import org.fuchsiawharf.core.limits.ClientLimitLog;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.log.Meters;
 import org.fuchsiawharf.core.relay.RelayInstance;
@@ -49,6 +52,9 @@
     private final FieldNames names;
     private final RelayInstance instance;
     private final Executor decisionLoop;
+    private final CallerBounds bounds;
+    private final CallerMemory memory;
+    private final ClientLimitLog limitLog;
     private final DecisionLog log;
     private final Meters meters;
     private final Set<CallerConnection> connections = new HashSet<>();
@@ -66,6 +72,7 @@
      * @param names the names of the header fields, not null
      * @param instance handles the requests, not null
      * @param decisionLoop executes tasks on the decision loop, not null
+     * @param bounds the bounds of what the connections take of the process, not null
      * @param log records malformed requests and connection failures, not null
      * @param meters records metrics, not null
      */
@@ -74,6 +81,7 @@
             FieldNames names,
             RelayInstance instance,
             Executor decisionLoop,
+            CallerBounds bounds,
             DecisionLog log,
             Meters meters) {
         this.io = io;
@@ -81,6 +89,9 @@
         this.names = names;
         this.instance = instance;
         this.decisionLoop = decisionLoop;
+        this.bounds = bounds;
+        this.memory = new CallerMemory(bounds.maxConnections(), bounds.maxBytes());
+        this.limitLog = new ClientLimitLog("callers", System::nanoTime, log, meters);
         this.log = log;
         this.meters = meters;
     }
@@ -102,11 +113,8 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(
-                                        new RequestDecoder(limits.maxHeaderBytes()),
-                                        new HttpResponseEncoder(),
-                                        new CallerConnection(CallerServer.this));
+                        CallerConnection connection = new CallerConnection(CallerServer.this);
+                        channel.pipeline().addLast(connection.getDecoder(), new HttpResponseEncoder(), connection);
                     }
                 })
                 .bind(address)
@@ -205,7 +213,10 @@
         meters.count("caller_connections", "opened");
     }
 
-    void onClosed(CallerConnection connection) {
+    void onClosed(CallerConnection connection, CallerMemory.@Nullable Account account) {
+        if (account != null) {
+            account.close();
+        }
         connections.remove(connection);
         connectionCount = connections.size();
     }
@@ -230,6 +241,11 @@
         log.write("request.failed", "request", id, "cause", Failures.describe(cause));
     }
 
+    /** Records that a connection was refused or closed, or its request refused, because of a bound. */
+    void onLimited(Channel channel, String limit) {
+        limitLog.onLimited(String.valueOf(channel.remoteAddress()), limit);
+    }
+
     void onConnectionFailed(String detail) {
         meters.count("caller_connections", "failed");
         log.write("caller.connection_failed", "detail", detail);
@@ -247,6 +263,14 @@
         return limits;
     }
 
+    CallerBounds getBounds() {
+        return bounds;
+    }
+
+    CallerMemory getMemory() {
+        return memory;
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 
+import org.fuchsiawharf.core.limits.CallerBounds;
 import org.fuchsiawharf.core.member.Member;
 import org.jspecify.annotations.Nullable;
 
@@ -19,6 +20,7 @@
  *     beyond those earned by requests
  * @param retryWindowMillis the length of the window, in milliseconds
  * @param gracePeriodMillis the longest time from the stop signal to the exit, in milliseconds
+ * @param callerBounds the bounds of what callers' connections take of the process
  */
 public record InstanceSettings(
         Member self,
@@ -28,4 +30,14 @@
         double retryRatio,
         double retryAllowance,
         long retryWindowMillis,
-        long gracePeriodMillis) {}
+        long gracePeriodMillis,
+        CallerBounds callerBounds) {
+    /**
+     * Gets the default bounds of this process.
+     *
+     * @return the bounds, never null
+     */
+    public static CallerBounds defaultCallerBounds() {
+        return CallerBounds.of(Runtime.getRuntime().maxMemory(), ProcessUsage.getMaxDescriptors());
+    }
+}
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/ProcessUsage.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/ProcessUsage.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import com.sun.management.OperatingSystemMXBean;
+import com.sun.management.UnixOperatingSystemMXBean;
 
 /**
  * Measures the processor time of this process and the time that it spends on garbage collection.
@@ -19,6 +20,12 @@
     private long lastCpuMillis;
     private long lastCollectionMillis;
 
+    /** Gets the number of descriptors that this process may open; may be called from any thread. */
+    static long getMaxDescriptors() {
+        return ManagementFactory.getPlatformMXBean(UnixOperatingSystemMXBean.class)
+                .getMaxFileDescriptorCount();
+    }
+
     /** Gets the processor time of all threads since the last call, in milliseconds. */
     long takeCpuMillis() {
         long totalMillis = system.getProcessCpuTime() / NANOS_PER_MILLI;
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -9,6 +9,9 @@
 
 import org.fuchsiawharf.core.health.OutlierEjection;
 import org.fuchsiawharf.core.limits.BrittleShares;
+import org.fuchsiawharf.core.limits.CallerBounds;
+import org.fuchsiawharf.core.limits.CallerMemory;
+import org.fuchsiawharf.core.limits.ClientLimitLog;
 import org.fuchsiawharf.core.limits.IdleConnectionLimits;
 import org.fuchsiawharf.core.limits.NoConcurrencyLimit;
 import org.fuchsiawharf.core.limits.RequestShares;
@@ -35,6 +38,7 @@
 import org.fuchsiawharf.core.stream.StreamOrigins;
 import org.fuchsiawharf.core.stream.VersionHistory;
 import org.fuchsiawharf.core.time.TimerService;
+import org.fuchsiawharf.peer.AcceptedConnections;
 import org.fuchsiawharf.peer.PeerListener;
 import org.fuchsiawharf.peer.PeerNetwork;
 import org.fuchsiawharf.relay.EndpointNoticeReader;
@@ -77,7 +81,7 @@
     private final StreamOrigins origins;
     private final RelayInstance instance;
     private final CallerServer callerServer;
-    private final StatusServer statusServer = new StatusServer(ioThread);
+    private final StatusServer statusServer;
     private BiConsumer<String, PeerMessage> stateMessageHandler = (from, message) -> {};
     private volatile boolean configured;
     private volatile boolean endpointsKnown;
@@ -113,6 +117,10 @@
         this.tunnels = new TunnelService(self, ioThread, loop, table, noticeReader, log, meters);
         this.client = new HttpClient(ioThread, names.requestId(), tunnels.getConnector());
         peers.setTunnelCarrier(tunnels.createCarrier());
+        CallerBounds bounds = settings.callerBounds();
+        peers.setAcceptedConnections(new AcceptedConnections(
+                new CallerMemory(bounds.maxPeerConnections(), bounds.getMaxPeerBytes()),
+                new ClientLimitLog("peers", System::nanoTime, log, meters)));
         OutlierEjection ejection = new OutlierEjection();
         SharedRetryBudget retryBudget = new SharedRetryBudget(
                 settings.retryRatio(),
@@ -172,7 +180,8 @@
                 instance.onBrittle(endpoint, maxRejections, sentNanos);
             }
         });
-        this.callerServer = new CallerServer(ioThread, names, instance, loop, log, meters);
+        this.statusServer = new StatusServer(ioThread, settings.callerBounds(), log, meters);
+        this.callerServer = new CallerServer(ioThread, names, instance, loop, settings.callerBounds(), log, meters);
         loop.addPauseListener(nanos -> {
             log.write("instance.paused", "millis", nanos / 1_000_000);
             pools.onProcessPaused();
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/StatusServer.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/StatusServer.java
@@ -1,31 +1,26 @@
 package org.fuchsiawharf.relay.instance;
 
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import org.fuchsiawharf.core.error.ErrorCode;
 import org.fuchsiawharf.core.error.WharfException;
+import org.fuchsiawharf.core.limits.CallerBounds;
+import org.fuchsiawharf.core.limits.CallerMemory;
+import org.fuchsiawharf.core.limits.ClientLimitLog;
+import org.fuchsiawharf.core.log.DecisionLog;
+import org.fuchsiawharf.core.log.Meters;
 import org.fuchsiawharf.relay.IoThread;
 
 /**
@@ -34,9 +29,10 @@
  * <p>Thread-safe.
  */
 public final class StatusServer {
-    private static final int MAX_REQUEST_BYTES = 8_192;
-
     private final IoThread io;
+    private final CallerBounds bounds;
+    private final CallerMemory memory;
+    private final ClientLimitLog limitLog;
     private final Map<String, Supplier<Page>> pages = new ConcurrentHashMap<>();
 
     /**
@@ -51,9 +47,15 @@
      * Creates a server without pages; {@link #bind} opens an address.
      *
      * @param io the I/O thread, not null
+     * @param bounds the bounds of what the connections take of the process, not null
+     * @param log records the connections that are closed because of a bound, not null
+     * @param meters counts them, not null
      */
-    public StatusServer(IoThread io) {
+    public StatusServer(IoThread io, CallerBounds bounds, DecisionLog log, Meters meters) {
         this.io = io;
+        this.bounds = bounds;
+        this.memory = new CallerMemory(bounds.maxStatusConnections(), bounds.getMaxStatusBytes());
+        this.limitLog = new ClientLimitLog("status", System::nanoTime, log, meters);
     }
 
     /**
@@ -80,11 +82,14 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        StatusConnection connection = new StatusConnection(
+                                StatusServer.this::render, bounds.maxHeaderLines(), memory, limitLog);
                         channel.pipeline()
                                 .addLast(
-                                        new HttpServerCodec(),
-                                        new HttpObjectAggregator(MAX_REQUEST_BYTES),
-                                        newHandler());
+                                        connection.getDecoder(),
+                                        new HttpResponseEncoder(),
+                                        new HttpObjectAggregator(StatusConnection.MAX_REQUEST_BYTES),
+                                        connection);
                     }
                 })
                 .bind(address)
@@ -95,36 +100,8 @@
         }
     }
 
-    private SimpleChannelInboundHandler<FullHttpRequest> newHandler() {
-        return new SimpleChannelInboundHandler<>() {
-            @Override
-            protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-                respond(context, request);
-            }
-
-            @Override
-            public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                context.close();
-            }
-        };
-    }
-
-    private void respond(ChannelHandlerContext context, FullHttpRequest request) {
-        String uri = request.uri();
-        int query = uri.indexOf('?');
-        Supplier<Page> page = pages.get(query < 0 ? uri : uri.substring(0, query));
-        Page result = page == null ? new Page(HttpResponseStatus.NOT_FOUND.code(), "not found\n") : page.get();
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(result.status()),
-                Unpooled.copiedBuffer(result.text(), StandardCharsets.UTF_8));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        boolean keepAlive = HttpUtil.isKeepAlive(request);
-        HttpUtil.setKeepAlive(response, keepAlive);
-        ChannelFuture written = context.writeAndFlush(response);
-        if (!keepAlive) {
-            written.addListener(ChannelFutureListener.CLOSE);
-        }
+    private Page render(String path) {
+        Supplier<Page> page = pages.get(path);
+        return page == null ? new Page(HttpResponseStatus.NOT_FOUND.code(), "not found\n") : page.get();
     }
 }
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -80,7 +80,8 @@
                 0.2,
                 100,
                 10_000,
-                gracePeriodMillis);
+                gracePeriodMillis,
+                InstanceSettings.defaultCallerBounds());
         process = new RelayProcess(
                 settings, FieldNames.DEFAULT, p -> new UnsupportedPieceCalls(), log, new MicrometerMeters());
         process.getOrigins().setStore(new EmptyOriginStore());
--- a/relay/src/test/java/org/fuchsiawharf/relay/edge/TestFailedWrites.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/edge/TestFailedWrites.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import org.fuchsiawharf.core.limits.CallerBounds;
 import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.log.Meters;
 import org.fuchsiawharf.core.relay.EndpointResponse;
@@ -36,7 +37,8 @@
     private final DecisionLog log = (event, fields) -> lines.add(event + " " + Arrays.toString(fields));
     // The server needs no instance, since no task of its decision loop is run.
     @SuppressWarnings("NullAway")
-    private final CallerServer server = new CallerServer(io, FieldNames.DEFAULT, null, task -> {}, log, Meters.NONE);
+    private final CallerServer server = new CallerServer(
+            io, FieldNames.DEFAULT, null, task -> {}, CallerBounds.of(1L << 30, 1_000), log, Meters.NONE);
 
     private final CallerConnection connection = new CallerConnection(server);
     private final DefaultFullHttpRequest request =
