End the process after a failed allocation or the unexpected end of a thread

Cause: the decision loop and the handlers of connections went on after an OutOfMemoryError, and an exception that ended the I/O thread left a process that served nothing.

The JVM option ExitOnOutOfMemoryError is not set, since the JVM would exit before the line.

--- a/core/src/main/java/org/fuchsiawharf/core/loop/DecisionLoop.java
+++ b/core/src/main/java/org/fuchsiawharf/core/loop/DecisionLoop.java
@@ -12,6 +12,7 @@
 import org.fuchsiawharf.core.port.Event;
 import org.fuchsiawharf.core.port.EventSink;
 import org.fuchsiawharf.core.time.Clock;
+import org.fuchsiawharf.core.util.FatalErrors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -19,7 +20,7 @@
  *
  * <p>Any thread may publish events with {@link #publish}; the loop processes them in order. A second thread waits
  * until the next timer is due and then publishes an event. An event whose processing fails, with an exception or an
- * error, is logged, and the next one is processed. Thread-safe.
+ * error, is logged, and the next one is processed, unless {@link FatalErrors} ends the process. Thread-safe.
  */
 public final class DecisionLoop implements EventSink, AutoCloseable {
     private static final Logger LOG = System.getLogger(DecisionLoop.class.getName());
@@ -91,10 +92,12 @@
     }
 
     static void logFailure(String kind, Throwable failure) {
+        FatalErrors.check(failure);
         try {
             LOG.log(Level.ERROR, "decision failed on " + kind, failure);
         } catch (OutOfMemoryError e) {
             // No memory is left for the line.
+            FatalErrors.check(e);
         }
     }
 
--- a/peer/src/main/java/org/fuchsiawharf/peer/CarriedTunnel.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/CarriedTunnel.java
@@ -15,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.fuchsiawharf.core.tunnel.TunnelRefusal;
 import org.fuchsiawharf.core.tunnel.TunnelRequest;
+import org.fuchsiawharf.core.util.FatalErrors;
 import org.fuchsiawharf.peer.generated.PeerProto;
 import org.jspecify.annotations.Nullable;
 
@@ -130,6 +131,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        FatalErrors.check(cause);
         context.close();
     }
 
@@ -170,6 +172,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            FatalErrors.check(cause);
             outcome = String.valueOf(cause.getMessage());
             context.close();
         }
--- a/relay/src/main/java/org/fuchsiawharf/relay/FailureLogHandler.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/FailureLogHandler.java
@@ -6,6 +6,7 @@
 import java.util.logging.Logger;
 
 import org.fuchsiawharf.core.log.DecisionLog;
+import org.fuchsiawharf.core.util.FatalErrors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -41,6 +42,9 @@
     @Override
     public void publish(LogRecord entry) {
         if (entry.getLevel().intValue() >= Level.WARNING.intValue()) {
+            if (entry.getThrown() != null) {
+                FatalErrors.check(entry.getThrown());
+            }
             log.write(
                     "instance.failure",
                     "source",
--- a/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/client/ClientConnection.java
@@ -20,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import org.fuchsiawharf.core.port.CallFailure;
+import org.fuchsiawharf.core.util.FatalErrors;
 import org.fuchsiawharf.relay.Failures;
 import org.jspecify.annotations.Nullable;
 
@@ -311,6 +312,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        FatalErrors.check(cause);
         readFailed = true;
         fail(CallFailure.LOST, String.valueOf(cause.getMessage()));
         channel.close();
--- a/relay/src/main/java/org/fuchsiawharf/relay/edge/HttpCallerExchange.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/edge/HttpCallerExchange.java
@@ -15,6 +15,7 @@
 import org.fuchsiawharf.core.relay.CallerExchange;
 import org.fuchsiawharf.core.relay.EndpointResponse;
 import org.fuchsiawharf.core.relay.Refusal;
+import org.fuchsiawharf.core.util.FatalErrors;
 import org.fuchsiawharf.relay.client.OpenCall;
 import org.jspecify.annotations.Nullable;
 
@@ -106,6 +107,7 @@
     }
 
     private void fail(Throwable cause) {
+        FatalErrors.check(cause);
         refuse(new Refusal(Refusal.Kind.LOST, ErrorCode.INTERNAL, "the request's processing failed", 0));
         server.onRequestFailed(getRequestId(), cause);
         server.executeOnIoThread(() -> {
@@ -178,6 +180,7 @@
         try {
             response.run();
         } catch (Throwable e) {
+            FatalErrors.check(e);
             try {
                 server.onRequestFailed(getRequestId(), e);
             } finally {
