Render the metrics at most four times a second

Cause: each request for the metrics rendered them on the I/O thread, so that clients that request them without end kept ordinary callers waiting: in TestUntrustedClients.unreadMetrics, ordinary requests timed out for more than 12 s before one was served.

Change: the rendered page is used for 250 ms. Readiness is not cached.

--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -222,7 +222,8 @@
         });
         statusServer.bind(settings.statusAddress());
         if (settings.metricsAddress() != null) {
-            statusServer.add("/metrics", () -> new StatusServer.Page(200, meters.scrape()));
+            statusServer.add(
+                    "/metrics", new CachedPage(() -> new StatusServer.Page(200, meters.scrape()), System::nanoTime));
             statusServer.bind(settings.metricsAddress());
         }
         callerServer.bind(settings.callerAddress());
