Close a connection of the peer port whose incomplete first frame is large

Suspected, not shown: the buffer allocator keeps what the growing buffers of the frames took.

Change: the first frame of an accepted connection states a name or asks for a tunnel; its connection is closed if it is incomplete and takes more than 64 KB.

--- a/peer/src/main/java/org/fuchsiawharf/peer/AcceptedConnections.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/AcceptedConnections.java
@@ -14,6 +14,9 @@
  * silent. If their incomplete frames take too much memory, the one that holds most is closed. Confined to the I/O thread.
  */
 public final class AcceptedConnections {
+    /** Memory of an incomplete first frame; it states a name or asks for a tunnel, in well under 1 KB. */
+    private static final int MAX_FIRST_FRAME_BYTES = 64 * 1_024;
+
     private final CallerMemory memory;
     private final ClientLimitLog limitLog;
 
@@ -30,13 +33,16 @@
 
     /** One accepted connection. */
     final class Accepted implements LongConsumer {
+        private final Channel channel;
         private final CallerMemory.@Nullable Account account;
+        private boolean hasFrame;
 
         private Accepted(Channel channel) {
-            CallerMemory.Account opened = memory.open(limit -> close(channel, limit));
+            this.channel = channel;
+            CallerMemory.Account opened = memory.open(limit -> close(channel, limit.getSetting()));
             account = opened;
             if (opened == null) {
-                close(channel, CallerMemory.Limit.MAX_CONNECTIONS);
+                close(channel, CallerMemory.Limit.MAX_CONNECTIONS.getSetting());
             } else {
                 channel.closeFuture().addListener(done -> opened.close());
             }
@@ -45,12 +51,15 @@
         /** Sets the memory that an incomplete frame takes, in bytes. */
         @Override
         public void accept(long bytes) {
-            if (account != null) {
+            if (!hasFrame && bytes > MAX_FIRST_FRAME_BYTES) {
+                close(channel, "first_frame");
+            } else if (account != null) {
                 account.setBytes(bytes);
             }
         }
 
         void onFrame() {
+            hasFrame = true;
             if (account != null) {
                 account.touch();
             }
@@ -68,8 +77,8 @@
     }
 
     // Called while a step of this or another connection is executed.
-    private void close(Channel channel, CallerMemory.Limit limit) {
-        limitLog.onLimited(String.valueOf(channel.remoteAddress()), limit.getSetting());
+    private void close(Channel channel, String limit) {
+        limitLog.onLimited(String.valueOf(channel.remoteAddress()), limit);
         channel.eventLoop().execute(channel::close);
     }
 }
