Merge the bounds of untrusted clients

InstanceSettings holds the tolerance of cold endpoints, the limits of hedges and the bounds of callers; one constructor fills in the defaults for tests.

--- a/peer/src/main/java/org/fuchsiawharf/peer/CarriedTunnel.java
+++ b/peer/src/main/java/org/fuchsiawharf/peer/CarriedTunnel.java
@@ -19,6 +19,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.fuchsiawharf.core.tunnel.TunnelRefusal;
 import org.fuchsiawharf.core.tunnel.TunnelRequest;
+import org.fuchsiawharf.core.util.FatalErrors;
 import org.fuchsiawharf.peer.generated.PeerProto;
 import org.jspecify.annotations.Nullable;
 
@@ -149,6 +150,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        FatalErrors.check(cause);
         context.close();
     }
 
@@ -214,6 +216,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            FatalErrors.check(cause);
             outcome = String.valueOf(cause.getMessage());
             context.close();
         }
--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/InstanceSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 
+import org.fuchsiawharf.core.limits.CallerBounds;
 import org.fuchsiawharf.core.limits.ColdShares;
 import org.fuchsiawharf.core.member.Member;
 import org.fuchsiawharf.core.retry.HedgeLimits;
@@ -23,6 +24,7 @@
  * @param coldTolerance what a cold endpoint may receive beyond the rate that it bears, from all instances together
  * @param gracePeriodMillis the longest time from the stop signal to the exit, in milliseconds
  * @param hedgeLimits the extra work that hedges may cause
+ * @param callerBounds the bounds of what callers' connections take of the process
  */
 public record InstanceSettings(
         Member self,
@@ -34,10 +36,11 @@
         long retryWindowMillis,
         ColdShares.Tolerance coldTolerance,
         long gracePeriodMillis,
-        HedgeLimits hedgeLimits) {
+        HedgeLimits hedgeLimits,
+        CallerBounds callerBounds) {
 
     /**
-     * Creates settings for endpoints that are never cold.
+     * Creates settings for endpoints that are never cold, with the default bounds of callers.
      *
      * @param self the member entry of this instance, not null
      * @param callerAddress the listen address for callers, not null
@@ -69,6 +72,16 @@
                 retryWindowMillis,
                 ColdShares.Tolerance.NONE,
                 gracePeriodMillis,
-                hedgeLimits);
+                hedgeLimits,
+                defaultCallerBounds());
+    }
+
+    /**
+     * Gets the default bounds of this process.
+     *
+     * @return the bounds, never null
+     */
+    public static CallerBounds defaultCallerBounds() {
+        return CallerBounds.of(Runtime.getRuntime().maxMemory(), ProcessUsage.getMaxDescriptors());
     }
 }
