Hold the limits of an instance in one record

Cause: the constructor of InstanceSettings with defaults had nine parameters, which Checkstyle refuses. Change: InstanceLimits holds the bounds of callers, the limits of hedges and the tolerance of cold endpoints.

--- a/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
+++ b/relay/src/main/java/org/fuchsiawharf/relay/instance/RelayProcess.java
@@ -120,7 +120,7 @@
         this.tunnels = new TunnelService(self, ioThread, loop, table, noticeReader, log, meters);
         this.client = new HttpClient(ioThread, names.requestId(), tunnels.getConnector());
         peers.setTunnelCarrier(tunnels.createCarrier());
-        CallerBounds bounds = settings.callerBounds();
+        CallerBounds bounds = settings.limits().callers();
         peers.setAcceptedConnections(new AcceptedConnections(
                 new CallerMemory(bounds.maxPeerConnections(), bounds.getMaxPeerBytes()),
                 new ClientLimitLog("peers", System::nanoTime, log, meters)));
@@ -150,11 +150,11 @@
                 pools,
                 calls,
                 retryBudget,
-                Hedging.of(settings.hedgeLimits(), retryBudget, System::nanoTime),
+                Hedging.of(settings.limits().hedges(), retryBudget, System::nanoTime),
                 new IdleConnectionLimits(members::size),
                 new RequestShares(members, random),
                 new BrittleShares(members, System::nanoTime, random),
-                new ColdShares(members, settings.coldTolerance()),
+                new ColdShares(members, settings.limits().cold()),
                 quarantine,
                 origins,
                 new ObjectiveAdmission(),
@@ -190,8 +190,9 @@
                 instance.getEndpointUpdates().onBrittle(endpoint, maxRejections, sentNanos);
             }
         });
-        this.statusServer = new StatusServer(ioThread, settings.callerBounds(), log, meters);
-        this.callerServer = new CallerServer(ioThread, names, instance, loop, settings.callerBounds(), log, meters);
+        this.statusServer = new StatusServer(ioThread, settings.limits().callers(), log, meters);
+        this.callerServer = new CallerServer(
+                ioThread, names, instance, loop, settings.limits().callers(), log, meters);
         loop.addPauseListener(nanos -> {
             log.write("instance.paused", "millis", nanos / 1_000_000);
             pools.onProcessPaused();
--- a/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/RelayFixture.java
@@ -30,6 +30,7 @@
 import org.fuchsiawharf.core.route.WorkspaceKeys;
 import org.fuchsiawharf.core.stream.OriginStore;
 import org.fuchsiawharf.core.stream.StreamOrigin;
+import org.fuchsiawharf.relay.instance.InstanceLimits;
 import org.fuchsiawharf.relay.instance.InstanceSettings;
 import org.fuchsiawharf.relay.instance.MicrometerMeters;
 import org.fuchsiawharf.relay.instance.RelayProcess;
@@ -97,7 +98,7 @@
                 100,
                 10_000,
                 gracePeriodMillis,
-                hedgeLimits);
+                InstanceLimits.defaults().withHedges(hedgeLimits));
         process = new RelayProcess(
                 settings, FieldNames.DEFAULT, p -> new UnsupportedPieceCalls(), log, new MicrometerMeters());
         process.getOrigins().setStore(new EmptyOriginStore());
