Expect less of the second endpoint of a prompt part

Change: the next endpoint counts with half of the saving, so that the first one is preferred unless it is slow or full.

--- a/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
@@ -22,6 +22,8 @@
     private static final int FALLBACK_SAMPLES = 8;
     private static final double SLOW_START_NANOS = 4e9;
     private static final double MIN_SLOW_START_SHARE = 0.2;
+    /** Part of the saving that is expected at the next endpoint on the ring, which has the prefix less often. */
+    private static final double NEXT_PREFIX_SHARE = 0.5;
     /** Cost of an endpoint in a suspected zone, beyond any expected time, so that it is selected last. */
     private static final double SUSPECTED_ZONE_NANOS = 1e12;
 
@@ -148,10 +150,13 @@
             if (pool.isInSuspectedZone(state, nowNanos)) {
                 score += SUSPECTED_ZONE_NANOS;
             }
-            if (state == prefixEndpoint || state == nextPrefixEndpoint || state.hasPrefix(prefixKey)) {
-                score -= stated ? prefixSavingNanos * pool.getDurationRatio(state, nowNanos) : prefixSavingNanos;
-            }
-            return score;
+            return score
+                    - getPrefixShare(state) * prefixSavingNanos * (stated ? pool.getDurationRatio(state, nowNanos) : 1);
+        }
+
+        private double getPrefixShare(EndpointState state) {
+            boolean first = state == prefixEndpoint || state.hasPrefix(prefixKey);
+            return first ? 1 : state == nextPrefixEndpoint ? NEXT_PREFIX_SHARE : 0;
         }
 
         private double getZoneCostNanos(EndpointState state) {
