--- a/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ExpectedCompletionSelector.java
@@ -160,7 +160,7 @@
         }
 
         private double getZoneCostNanos(EndpointState state) {
-            InputPlace place = inputs;
+            InputPlace place = pool.isDurationStated() ? inputs : null;
             double transferNanos =
                     place == null || place.zone().equals(state.getEndpoint().zone()) ? 0 : place.transferCostNanos();
             return transferNanos + (state.isOwnZone() ? 0 : crossZoneNanos);
