--- a/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
+++ b/core/src/main/java/org/fuchsiawharf/core/pieces/StageEndpoints.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 
 import org.fuchsiawharf.core.health.HealthPolicy;
+import org.fuchsiawharf.core.log.DecisionLog;
 import org.fuchsiawharf.core.model.Endpoint;
 import org.fuchsiawharf.core.port.CallFailure;
 import org.fuchsiawharf.core.routing.EndpointState;
@@ -27,6 +28,7 @@
     private final EndpointTable table;
     private final HealthPolicy health;
     private final TimerService timers;
+    private final DecisionLog log;
     private final Map<String, Integer> callsByEndpoint = new HashMap<>();
     private final Map<String, Long> backoffUntilNanos = new HashMap<>();
 
@@ -35,6 +37,7 @@
         this.table = context.table();
         this.health = context.health();
         this.timers = context.timers();
+        this.log = context.log();
     }
 
     /** Gets the usable endpoints, the fastest first; all that are not leaving if none is usable. */
@@ -106,7 +109,9 @@
     void onFailed(EndpointState endpoint, CallFailure failure) {
         if (failure == CallFailure.NOT_SENT) {
             Endpoint target = endpoint.getEndpoint();
-            table.getZoneReach().onNotConnected(target.zone(), target.name(), timers.now());
+            if (table.getZoneReach().onNotConnected(target.zone(), target.name(), timers.now())) {
+                log.write("zone.suspected", "zone", target.zone(), "endpoint", target.name());
+            }
         }
     }
 
--- a/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/RequestLimit.java
@@ -132,7 +132,7 @@
     }
 
     /**
-     * Gets the time from which the limits permit a request.
+     * Gets the time from which the limits permit a request, in the past if they permit one now.
      *
      * @return the time in nanoseconds; {@link Long#MIN_VALUE} if there is no limit
      */
--- a/core/src/main/java/org/fuchsiawharf/core/routing/ZoneReach.java
+++ b/core/src/main/java/org/fuchsiawharf/core/routing/ZoneReach.java
@@ -11,7 +11,7 @@
  * <p>Answers the load of a zone that is cut off: each request that tries one of its endpoints waits for a connect timeout, and an
  * instance that finds the endpoints one by one keeps trying for as long as most cuts last. Once connects to several
  * endpoints of a zone have failed in a row, the zone is suspected for a time; then a single further failure suspects it
- * again. A response from any endpoint of the zone ends the suspicion. The instance's own zone is never suspected.
+ * again. A response from any endpoint of the zone ends the suspicion, a refusal or a failure does not. The instance's own zone is never suspected.
  *
  * <p>Confined to the decision loop.
  */
@@ -63,7 +63,7 @@
     }
 
     /**
-     * Records a response from an endpoint.
+     * Records a response from an endpoint that shows that its zone is reached.
      *
      * @param zone the availability zone of the endpoint, not null
      */
