--- a/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiawharf/core/relay/FleetSimulation.java
@@ -172,8 +172,7 @@
             countsByKind.put(kind.route().name(), new OutcomeCounts());
             scheduleNextArrival(kind, loadFactor, seconds * 1_000 * MILLI);
         }
-        long endNanos = (seconds + 10) * 1_000 * MILLI;
-        while (timers.getNextDue() <= endNanos) {
+        while (timers.getNextDue() <= (seconds + 10) * 1_000 * MILLI) {
             timers.advance(timers.getNextDue());
         }
         return countsByKind;
@@ -373,16 +372,11 @@
                 instanceRandom,
                 log,
                 Meters.NONE));
-        List<ServiceSpec> services = new ArrayList<>();
-        services.add(new ServiceSpec(ENGINE, null));
+        List<ServiceSpec> services = new ArrayList<>(List.of(new ServiceSpec(ENGINE, null)));
         stages.forEach(stage -> services.add(new ServiceSpec(stage.name(), stage.spec())));
         pools.start();
-        instance.applyConfig(RoutingConfig.of(
-                1,
-                kinds.stream().map(RequestClass::route).toList(),
-                services,
-                WorkspaceKeys.NOT_REQUIRED,
-                CallerLimits.DEFAULT));
+        List<Route> routes = kinds.stream().map(RequestClass::route).toList();
+        instance.applyConfig(RoutingConfig.of(1, routes, services, WorkspaceKeys.NOT_REQUIRED, CallerLimits.DEFAULT));
         instance.getEndpointUpdates().onEndpoints(listing);
         return instance;
     }
