--- a/relay/src/test/java/org/fuchsiawharf/relay/client/TestResponseEnd.java
+++ b/relay/src/test/java/org/fuchsiawharf/relay/client/TestResponseEnd.java
@@ -136,8 +136,7 @@
         assertThat(exchange(LARGE_BODY_BYTES, Socket::shutdownOutput), is("LOST"));
     }
 
-    // The operating system had taken over the request; the reset that follows the end of the server's side was not
-    // seen.
+    // The reset of a request that the operating system had taken over follows the end of the server's side unseen.
     @ParameterizedTest
     @ValueSource(ints = {100_000, 1 << 20, 3 << 20})
     void closeBeforeRequestIsReadLeavesResponseIncomplete(int requestBytes) throws Exception {
